--- /dev/null
+++ b/cometusher/__main__.py
@@ -0,0 +1,83 @@
+"""Start, signals and exit of the proxy."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import logging
+import os
+import signal
+import sys
+import time
+
+import uvloop
+
+from cometusher import config
+from cometusher.proxy import Proxy
+
+
+class RateLimit(logging.Filter):
+    """At most so many lines a second of each kind.
+
+    Guards against a log that grows with the load, and against stopping on a log that nobody reads.
+    """
+
+    def __init__(self, per_second: float = 2.0, burst: float = 10.0) -> None:
+        super().__init__()
+        self._per_second = per_second
+        self._burst = burst
+        self._kinds: dict[str, tuple[float, float, int]] = {}  # left, at, held back; keyed by source line
+
+    def filter(self, record: logging.LogRecord) -> bool:
+        kind = f"{record.pathname}:{record.lineno}"
+        now = time.monotonic()
+        left, at, held = self._kinds.get(kind, (self._burst, now, 0))
+        left = min(self._burst, left + (now - at) * self._per_second)
+        if left < 1.0:
+            self._kinds[kind] = (left, now, held + 1)
+            return False
+        self._kinds[kind] = (left - 1.0, now, 0)
+        if held:
+            record.msg = f"{record.msg} [{held} more like it were left out]"
+        return True
+
+
+async def serve(settings: config.Config) -> None:
+    """Run until SIGTERM or SIGINT, then end in order."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    proxy = Proxy(settings)
+    proxy.start()
+    # What is alive now lives on: full collections need not walk it.
+    gc.collect()
+    gc.freeze()
+    logging.info("%s listens on %s:%d", settings.name, settings.listen[0], proxy.callers.port)
+    await stop.wait()
+    logging.info("stopping")
+    await proxy.drain()
+    logging.info("stopped")
+
+
+def main() -> int:
+    """Returns the exit code."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(name)s: %(message)s"))
+    handler.addFilter(RateLimit())
+    logging.basicConfig(level=logging.INFO, handlers=[handler])
+    try:
+        settings = config.load(os.environ)
+    except config.ConfigError as fault:
+        print(f"cometusher: {fault}".replace("\n", " "), file=sys.stderr)
+        return 2
+    try:
+        uvloop.run(serve(settings))
+    except OSError as fault:
+        print(f"cometusher: listen: {fault}".replace("\n", " "), file=sys.stderr)
+        return 1
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/cometusher/callers.py
@@ -0,0 +1,519 @@
+"""The side of the callers: the listener, their connections, reading requests and writing answers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import socket
+from collections import deque
+from typing import Protocol, cast
+
+from cometusher.budget import BodyMemory, Descriptors
+from cometusher.config import Address
+from cometusher.http1 import (
+    CONTINUE,
+    LAST_CHUNK,
+    Headers,
+    Malformed,
+    Request,
+    RequestParser,
+    chunk,
+    response_head,
+)
+
+log = logging.getLogger(__name__)
+
+BACKLOG = 4096
+ACCEPTS = 64  # at one wake-up, so that accepting can't starve what is under way
+HIGH_WATER = 256 * 1024  # bytes of an answer that wait for a slow caller
+MAX_AHEAD = 16  # requests read ahead on one connection
+HEAD_TIMEOUT = 15.0  # seconds for a head
+BODY_STALL = 30.0  # seconds without a byte of a body
+WRITE_STALL = 30.0  # seconds in which a caller takes nothing of an answer
+IDLE_TIMEOUT = 120.0
+LINGER = 1.0  # seconds in which what a caller still writes is read and dropped
+DRAIN_ACCEPT = 0.45  # seconds after the order to stop in which new connections are taken
+DRAIN_READ = 0.7  # and those after which a request that is not whole is given up
+
+
+class Taken(Protocol):
+    """A request that was handed on, as its connection sees it."""
+
+    def caller_left(self) -> None:
+        """The caller is gone; nothing can be answered any more."""
+
+    def caller_ready(self, ready: bool) -> None:
+        """The caller can, or can't, take more of a long answer."""
+
+
+class RequestHandler(Protocol):
+    """Who takes requests."""
+
+    def take(self, caller: CallerConnection, request: Request) -> Taken | None:
+        """A whole request; None if it was answered at once."""
+
+
+class CallerConnection(asyncio.Protocol):
+    """One caller's connection; its requests are handed on one after the other."""
+
+    def __init__(self, callers: Callers) -> None:
+        self._callers = callers
+        self._transport: asyncio.Transport | None = None
+        self._parser = RequestParser(self)
+        self._ahead: deque[Request] = deque()
+        self._busy = False  # a request is handed on and not yet answered
+        self._taken: Taken | None = None
+        self._request: Request | None = None
+        self._fault: Malformed | None = None  # answered once what came before it is
+        self._chunked = False
+        self._stream_close = False
+        self._closing = False
+        self._upload_paused = False
+        self._ahead_paused = False
+        self._reading = True
+        self.since = 0.0  # of the present state, for time limits
+
+    # ---- the transport's calls -----------------------------------------------------------
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
+        self._transport = transport
+        transport.set_write_buffer_limits(high=HIGH_WATER)
+        self.since = self._callers.loop.time()
+        self._callers.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        if self._closing or self._fault is not None:
+            return  # read and dropped, so that closing does not destroy the answer on its way
+        if not self._busy and not self.mid_request:
+            self.since = self._callers.loop.time()
+            self._callers.not_idle(self)
+        elif self._parser.current is not None and self._parser.current.method:
+            self.since = self._callers.loop.time()  # a body may take long, but not stop
+        try:
+            self._parser.feed(data)
+        except Malformed as fault:
+            self._drop_upload()
+            self._fault = fault
+        except Exception:
+            log.exception("reading a request failed")
+            self._fault = Malformed(400, "unreadable")
+        else:
+            self._charge()
+        self._next()
+        self._set_reading()
+        if self.idle:
+            self._callers.now_idle(self)  # nothing but line breaks, or answered at once
+
+    def eof_received(self) -> None:
+        self._leave()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self._transport = None
+        self._leave()
+        self._callers.closed(self)
+
+    def pause_writing(self) -> None:
+        self.since = self._callers.loop.time()
+        if self._taken is not None:
+            self._taken.caller_ready(False)
+
+    def resume_writing(self) -> None:
+        self.since = self._callers.loop.time()
+        if self._taken is not None:
+            self._taken.caller_ready(True)
+
+    # ---- reading -------------------------------------------------------------------------
+
+    @property
+    def mid_request(self) -> bool:
+        """Whether a request has begun to come and is not whole."""
+        return self._parser.current is not None
+
+    @property
+    def partial(self) -> bool:
+        """Whether nothing but a request that is not whole is on this connection."""
+        return self.mid_request and not self._busy and not self._ahead
+
+    @property
+    def idle(self) -> bool:
+        """Between requests."""
+        return not (self._busy or self._ahead or self._closing or self.mid_request or self._fault)
+
+    def on_request_head(self, request: Request) -> None:
+        if request.method not in (b"GET", b"POST"):
+            raise Malformed(405, "method not allowed")
+        expect = request.header(b"expect")
+        if expect is not None and not request.http10:
+            if expect.lower() != b"100-continue":
+                raise Malformed(417, "unknown expectation")
+            # Answers in order: no interim one while an earlier request is still being answered.
+            if self._transport is not None and not self._busy and request.length != 0:
+                self._transport.write(CONTINUE)
+        if request.length is None or request.length > BodyMemory.SMALL:
+            self._callers.memory.join(self)
+
+    def on_request(self, request: Request) -> None:
+        request.arrived = self._callers.loop.time()
+        self._count(request)
+        self._callers.memory.leave(self)
+        self._ahead.append(request)
+
+    def _charge(self) -> None:
+        current = self._parser.current
+        if current is not None and current.method:
+            self._count(current)
+
+    def _count(self, request: Request) -> None:
+        grown = len(request.body) - request.charged
+        if grown:
+            request.charged += grown
+            self._callers.memory.add(grown)
+
+    def _forget(self, request: Request) -> None:
+        """Let go of a request's body."""
+        if request.charged:
+            self._callers.memory.add(-request.charged)
+            request.charged = 0
+            request.body = bytearray()
+
+    def _drop_upload(self) -> None:
+        current, self._parser.current = self._parser.current, None
+        self._callers.memory.leave(self)
+        if current is not None:
+            self._forget(current)
+
+    def pause_upload(self) -> None:
+        """Stop reading this body: memory is short."""
+        self._upload_paused = True
+        self._set_reading()
+
+    def resume_upload(self) -> None:
+        """Read on."""
+        if self._upload_paused:
+            self._upload_paused = False
+            self.since = self._callers.loop.time()
+            self._set_reading()
+
+    def _set_reading(self) -> None:
+        # A caller that writes ahead without end must not fill the memory.
+        self._ahead_paused = len(self._ahead) >= MAX_AHEAD
+        want = not (self._upload_paused and self.mid_request) and not self._ahead_paused
+        if want is not self._reading and self._transport is not None and not self._transport.is_closing():
+            self._reading = want
+            (self._transport.resume_reading if want else self._transport.pause_reading)()
+
+    def _next(self) -> None:
+        """Hand on the next request, if the one before it is answered."""
+        while not self._busy and not self._closing and self._transport is not None:
+            if self._ahead:
+                request = self._ahead.popleft()
+                self._busy = True
+                self._request = request
+                taken = self._callers.handler.take(self, request)
+                if self._busy:
+                    self._taken = taken
+                self._set_reading()
+            elif self._fault is not None:
+                self._refuse_malformed(self._fault)
+            else:
+                return
+
+    def _refuse_malformed(self, fault: Malformed) -> None:
+        log.info("malformed request: %d %s", fault.status, fault)
+        body = f"{fault}\n".encode()
+        headers = [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
+        if fault.status == 405:
+            headers.append((b"allow", b"GET, POST"))
+        assert self._transport is not None
+        self._transport.write(response_head(fault.status, headers, True) + body)
+        self._linger()
+
+    def _linger(self) -> None:
+        # Closing with bytes unread resets the connection, which can destroy the answer under way.
+        self._closing = True
+        transport = self._transport
+        assert transport is not None
+        self.since = self._callers.loop.time()
+        if transport.can_write_eof():
+            transport.write_eof()
+        self._callers.loop.call_later(LINGER, transport.close)
+
+    # ---- answering -----------------------------------------------------------------------
+
+    def answer(self, status: int, headers: Headers, body: bytes) -> None:
+        """Write a whole answer to the request that is handed on."""
+        close = self._must_close()
+        if self._transport is not None:
+            headers.append((b"content-length", b"%d" % len(body)))
+            self._transport.write(response_head(status, headers, close) + body)
+        self._answered(close)
+
+    def begin(self, headers: Headers, length: int | None) -> None:
+        """Write the head of a long 200 answer."""
+        request = self._request
+        assert request is not None
+        self._chunked = length is None and not request.http10
+        if length is not None:
+            headers.append((b"content-length", b"%d" % length))
+        elif self._chunked:
+            headers.append((b"transfer-encoding", b"chunked"))
+        self._stream_close = self._must_close() or (length is None and not self._chunked)
+        if self._transport is not None:
+            self._transport.write(response_head(200, headers, self._stream_close))
+
+    def more(self, data: bytes) -> None:
+        """Write more of a long answer."""
+        if self._transport is not None and data:
+            self.since = self._callers.loop.time()
+            self._transport.write(chunk(data) if self._chunked else data)
+
+    def finish(self) -> None:
+        """A long answer is whole."""
+        if self._transport is not None and self._chunked:
+            self._transport.write(LAST_CHUNK)
+        self._answered(self._stream_close)
+
+    def break_off(self) -> None:
+        """A long answer can't be finished: end so that the caller can tell."""
+        self._finish_request()
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def release_body(self) -> None:
+        """The body of the request that is handed on is of no more use."""
+        if self._request is not None:
+            self._forget(self._request)
+
+    def _must_close(self) -> bool:
+        assert self._request is not None
+        return not self._request.keep_alive or self._callers.ending or self._callers.crowded
+
+    def _finish_request(self) -> None:
+        self.release_body()
+        self._busy = False
+        self._taken = None
+        self._request = None
+
+    def _answered(self, close: bool) -> None:
+        self._finish_request()
+        self.since = self._callers.loop.time()
+        if close:
+            self._closing = True
+            if self._transport is not None:
+                self._transport.close()
+        elif self._ahead or self._fault is not None:
+            self._callers.loop.call_soon(self._next)
+        elif self.idle:
+            self._callers.now_idle(self)
+
+    # ---- ends ----------------------------------------------------------------------------
+
+    def _leave(self) -> None:
+        """The caller has gone away."""
+        self._drop_upload()
+        for request in self._ahead:
+            self._forget(request)
+        self._ahead.clear()
+        taken = self._taken
+        self._finish_request()
+        self._closing = True
+        if taken is not None:
+            taken.caller_left()
+
+    def close(self) -> None:
+        """Close a connection that owes no answer."""
+        self._drop_upload()
+        self._closing = True
+        if self._transport is not None:
+            self._transport.close()
+
+    def check(self, now: float) -> None:
+        """End what takes too long: heads and bodies that stop coming, answers that nobody takes."""
+        age = now - self.since
+        transport = self._transport
+        if transport is None:
+            return
+        if transport.get_write_buffer_size() > 0:
+            if age > WRITE_STALL:
+                log.info("a caller takes no more of its answer; closing")
+                transport.abort()
+        elif self.idle:
+            if age > IDLE_TIMEOUT:
+                self.close()
+        elif self.partial and not self._upload_paused:
+            current = self._parser.current
+            if age > (BODY_STALL if current is not None and current.method else HEAD_TIMEOUT):
+                log.info("a request stopped coming; closing")
+                self.close()
+
+
+class Callers:
+    """The listener and all callers' connections."""
+
+    def __init__(
+        self, loop: asyncio.AbstractEventLoop, handler: RequestHandler, descriptors: Descriptors, memory: BodyMemory
+    ) -> None:
+        self.loop = loop
+        self.handler = handler
+        self.memory = memory
+        self.ending = False  # every answer closes its connection
+        self.crowded = False  # connections wait for a free descriptor
+        self.empty = asyncio.Event()
+        self._draining = False
+        self._descriptors = descriptors
+        self._socket: socket.socket | None = None
+        self._accepting = False
+        self._connections: set[CallerConnection] = set()
+        self._idle: dict[CallerConnection, None] = {}  # longest idle first
+        self._tasks: set[asyncio.Task[None]] = set()
+        descriptors.evict_caller = self._evict
+        descriptors.on_free.append(self._resume_accepting)
+
+    # ---- the listener --------------------------------------------------------------------
+
+    def listen(self, address: Address) -> None:
+        """Start to accept."""
+        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+        listener = socket.socket(family, socket.SOCK_STREAM)
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.setblocking(False)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+        self._socket = listener
+        self._resume_accepting()
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        assert self._socket is not None
+        return int(self._socket.getsockname()[1])
+
+    def _accept(self) -> None:
+        # Not the event loop's own listener: at EMFILE that accepts and closes, which loses requests.
+        for _ in range(ACCEPTS):
+            if self._socket is None:
+                return
+            if not self._descriptors.take_caller():
+                self._pause_accepting()
+                return
+            try:
+                connection, _ = self._socket.accept()
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                self._descriptors.give_caller()
+                return
+            except OSError as fault:
+                # Guards against spinning on a listener that stays readable: EMFILE, ENFILE, ENOMEM.
+                log.warning("accept failed: %s", fault)
+                self._descriptors.give_caller()
+                self._pause_accepting()
+                self.loop.call_later(0.05, self._resume_accepting)
+                return
+            connection.setblocking(False)
+            task = self.loop.create_task(self._adopt(connection))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _adopt(self, connection: socket.socket) -> None:
+        protocol = CallerConnection(self)
+        try:
+            await self.loop.connect_accepted_socket(lambda: protocol, connection)
+        except OSError as fault:
+            log.info("a new connection failed: %s", fault)
+            if protocol not in self._connections:
+                connection.close()
+                self._descriptors.give_caller()
+
+    def _pause_accepting(self) -> None:
+        if self._accepting and self._socket is not None:
+            self._accepting = False
+            self.crowded = True
+            self.loop.remove_reader(self._socket.fileno())
+            log.warning(
+                "no descriptor for new connections: %d of %d in use", self._descriptors.used, self._descriptors.limit
+            )
+
+    def _resume_accepting(self) -> None:
+        if not self._accepting and self._socket is not None:
+            self._accepting = True
+            self.crowded = False
+            self.loop.add_reader(self._socket.fileno(), self._accept)
+
+    # ---- connections ---------------------------------------------------------------------
+
+    def opened(self, connection: CallerConnection) -> None:
+        """A connection is up."""
+        self._connections.add(connection)
+        self._idle[connection] = None
+
+    def closed(self, connection: CallerConnection) -> None:
+        """A connection is gone, and its descriptor with it."""
+        self._idle.pop(connection, None)
+        if connection in self._connections:
+            self._connections.discard(connection)
+            self._descriptors.give_caller()
+        if self._draining and not self._connections:
+            self.empty.set()
+
+    def not_idle(self, connection: CallerConnection) -> None:
+        """A request begins to come."""
+        self._idle.pop(connection, None)
+
+    def now_idle(self, connection: CallerConnection) -> None:
+        """Its request is answered."""
+        if self.ending:
+            connection.close()
+        else:
+            self._idle[connection] = None
+
+    def _evict(self) -> bool:
+        # A connection that has never carried a request is about to; those come last.
+        for connection in self._idle:
+            if connection.idle:
+                del self._idle[connection]
+                connection.close()
+                return True
+        return False
+
+    def sweep(self) -> None:
+        """Apply the time limits."""
+        now = self.loop.time()
+        for connection in list(self._connections):
+            connection.check(now)
+
+    def count(self) -> int:
+        """Connections that are up."""
+        return len(self._connections)
+
+    # ---- the end -------------------------------------------------------------------------
+
+    async def drain(self) -> None:
+        """End in order: take what still comes, then answer what was taken, and close.
+
+        Guards against losing requests at a planned restart: connections go on coming for a while after
+        the order to stop, and what waits in the backlog when the listener closes would be reset.
+        """
+        await asyncio.sleep(DRAIN_ACCEPT)
+        self.ending = True
+        if self._socket is not None:
+            self._accept()
+            if self._accepting:
+                self.loop.remove_reader(self._socket.fileno())
+            self._accepting = False
+            self._socket.close()
+            self._socket = None
+        while self._tasks:
+            await asyncio.wait(self._tasks)
+        for connection in list(self._connections):
+            if connection.idle:
+                connection.close()
+        self.loop.call_later(DRAIN_READ - DRAIN_ACCEPT, self._give_up_partial)
+        self._draining = True
+        if self._connections:
+            await self.empty.wait()
+
+    def _give_up_partial(self) -> None:
+        for connection in list(self._connections):
+            if connection.idle or connection.partial:
+                connection.close()
--- /dev/null
+++ b/cometusher/config.py
@@ -0,0 +1,114 @@
+"""What the proxy is told at its start: the file at LB_CONFIG and the environment, as typed values."""
+
+from __future__ import annotations
+
+import zlib
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from weldroute import Settings
+from weldroute.benchlink import read_settings
+
+Address = tuple[str, int]
+
+
+class ConfigError(Exception):
+    """A setting that is missing or makes no sense; the text names it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """Everything that the proxy is told."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    seed: int
+    memory_mb: int
+    sockets: int
+    known: dict[str, Any]
+    settings: Settings
+    zones: tuple[str, ...]
+
+
+def read_address(text: Any, name: str) -> Address:
+    """`host:port` as a pair."""
+    host, colon, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not colon or not host or not port.isascii() or not port.isdigit() or int(port) > 65535:
+        raise ConfigError(f"{name}: {text!r} is not host:port")
+    return host.strip("[]"), int(port)
+
+
+def stable_number(text: str) -> int:
+    """A number below 2**32 that is the same in every process; `hash()` is not."""
+    return zlib.crc32(text.encode())
+
+
+def _positive(values: Mapping[str, Any], key: str, default: int) -> int:
+    value = values.get(key, default)
+    if isinstance(value, bool) or not isinstance(value, (int, float)) or not 1 <= value < 2**31:
+        raise ConfigError(f"limits.{key}: {value!r} is not a number of 1 or more")
+    return int(value)
+
+
+def _seed(value: Any) -> int:
+    try:
+        return int(str(value), 16)
+    except ValueError:
+        return stable_number(str(value))
+
+
+def _object(values: Mapping[str, Any], key: str) -> dict[str, Any]:
+    value = values.get(key, {})
+    if not isinstance(value, dict):
+        raise ConfigError(f"{key}: not an object")
+    return value
+
+
+def _settings(raw: dict[str, Any]) -> Settings:
+    if not raw.get("Services"):
+        raise ConfigError("settings.Services: missing")
+    try:
+        settings = read_settings(raw)
+        settings.check()
+    except (ValueError, TypeError, AttributeError, KeyError) as fault:
+        raise ConfigError(f"settings: {fault}") from fault
+    if not settings.limits.connect_timeout > 0.0:
+        raise ConfigError("settings.Bounds.DialTimeout: must be above 0")
+    return settings
+
+
+def load(environ: Mapping[str, str]) -> Config:
+    """Read the configuration; raises ConfigError."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set")
+    try:
+        values = orjson.loads(Path(path).read_bytes())
+    except OSError as fault:
+        raise ConfigError(f"LB_CONFIG: {path}: {fault.strerror}") from fault
+    except orjson.JSONDecodeError as fault:
+        raise ConfigError(f"LB_CONFIG: {path}: not JSON: {fault}") from fault
+    if not isinstance(values, dict):
+        raise ConfigError(f"LB_CONFIG: {path}: not an object")
+    limits = _object(values, "limits")
+    raw = _object(values, "settings")
+    settings = _settings(raw)
+    known = _object(values, "known")
+    if not isinstance(known.get("hosts", []), list) or not isinstance(known.get("seq", 0), int):
+        raise ConfigError("known: not a list of hosts with a seq")
+    return Config(
+        name=str(environ.get("LB_NAME") or values.get("name") or "proxy"),
+        listen=read_address(environ.get("LB_LISTEN") or values.get("listen"), "listen"),
+        discovery=read_address(environ.get("LB_DISCOVERY") or values.get("discovery"), "discovery"),
+        seed=_seed(values.get("seed", "")),
+        memory_mb=_positive(limits, "memory_mb", 192),
+        sockets=_positive(limits, "sockets", 1024),
+        known=known,
+        settings=settings,
+        zones=tuple(str(zone) for zone in raw.get("Zones") or ()),
+    )
--- /dev/null
+++ b/cometusher/discovery.py
@@ -0,0 +1,231 @@
+"""Discovery: reading the list of backends, and the watch that keeps it up to date.
+
+Where lists are pushed the watch is kept up from here, at no cost to anyone. Where discovery is asked,
+each call is the module's decision: `subscribe` makes one, and its failure is told as BROKEN.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import re
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+import httptools
+import orjson
+
+from cometusher.config import Address, ConfigError, read_address, stable_number
+from weldroute import ListKind, ServerRow, State
+
+log = logging.getLogger(__name__)
+
+STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
+HEARTBEAT = 5.0  # seconds of silence after which a watch is dead; an empty line is due every 2 s
+CALL_WAIT = 20.0  # seconds that a call may wait in turn, where discovery is asked
+CONNECT = 1.0
+BACKOFF_FROM, BACKOFF_TO = 0.1, 2.0
+MAX_LINE = 16 * 1024 * 1024
+
+_HEX = re.compile(r"(?:^|.*[-_.])([0-9a-f]{1,8})")
+
+
+class Unreadable(Exception):
+    """An answer of discovery that can't be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """One backend as discovery describes it."""
+
+    row: ServerRow
+    dial: Address
+
+
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """One message: the whole list or a change to it."""
+
+    seq: int
+    whole: bool
+    entries: Sequence[Entry]
+
+
+def server_id(host: str) -> int:
+    """The module's number for a host, equal at every proxy."""
+    match = _HEX.fullmatch(host)
+    return int(match[1], 16) if match else stable_number(host)
+
+
+def _number(value: Any, default: float) -> float:
+    if value is None:
+        return default
+    if isinstance(value, bool) or not isinstance(value, (int, float)):
+        raise TypeError(f"{value!r} is not a number")
+    return float(value)
+
+
+def read_entry(item: Any, zones: Sequence[str]) -> Entry:
+    """One entry; raises what a malformed one raises."""
+    host, site = item["host"], item.get("site")
+    if not isinstance(host, str) or not host:
+        raise TypeError("host is not a name")
+    row = ServerRow(
+        server=server_id(host),
+        # An unknown word is no reason to send there.
+        state=STATES.get(item.get("health", "in_service"), State.DRAINING),
+        zone=zones.index(site) if site in zones else len(zones),
+        cell=int(_number(item.get("block"), 0)),
+        size=_number(item.get("share"), 1.0),
+        started=_number(item.get("born_ms"), 0.0) / 1000.0,
+    )
+    return Entry(row, read_address(item.get("dial"), "dial"))
+
+
+def read_listing(value: Any, zones: Sequence[str]) -> Listing:
+    """A message; an odd entry is skipped, for the rest may tell of drains."""
+    if not isinstance(value, dict) or not isinstance(value.get("hosts"), list):
+        raise Unreadable("not a list of hosts")
+    seq = value.get("seq", 0)
+    if isinstance(seq, bool) or not isinstance(seq, int):
+        raise Unreadable("seq is not a number")
+    entries = []
+    for item in value["hosts"]:
+        try:
+            entries.append(read_entry(item, zones))
+        except (KeyError, TypeError, ValueError, AttributeError, ConfigError) as fault:
+            log.warning("discovery: an entry is skipped: %s", fault)
+    return Listing(seq, value.get("whole") is True, entries)
+
+
+class _Body:
+    """The lines of an answer, out of its bytes."""
+
+    def __init__(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._rest = b""
+        self.lines: list[bytes] = []
+        self.status = 0
+        self.ended = False
+
+    def feed(self, data: bytes) -> None:
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
+            raise Unreadable(f"malformed HTTP: {fault}") from None
+
+    def on_headers_complete(self) -> None:
+        self.status = self._parser.get_status_code()
+
+    def on_body(self, data: bytes) -> None:
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        self.lines += lines
+        if len(self._rest) > MAX_LINE:
+            raise Unreadable("a line without end")
+
+    def on_message_complete(self) -> None:
+        self.ended = True
+
+
+class Discovery:
+    """The watch of one proxy."""
+
+    def __init__(
+        self,
+        address: Address,
+        zones: Sequence[str],
+        seq: int,
+        pushed: bool,
+        rng: Random,
+        changed: Callable[[ListKind, Sequence[Entry]], None],
+    ) -> None:
+        self._address = address
+        self._zones = zones
+        self._seq = seq
+        self._pushed = pushed
+        self._rng = rng
+        self._changed = changed
+        self._told = False  # the present watch has brought a list
+        self._task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Begin to watch, where that costs nobody anything."""
+        if self._pushed:
+            self._task = asyncio.get_running_loop().create_task(self._keep())
+
+    def subscribe(self) -> None:
+        """Call discovery; while a watch is up it has the answer already."""
+        if not self._pushed and (self._task is None or self._task.done()):
+            self._task = asyncio.get_running_loop().create_task(self._once())
+
+    async def stop(self) -> None:
+        """End the watch."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+
+    async def _once(self) -> None:
+        await self._attempt(CALL_WAIT)
+        self._changed(ListKind.BROKEN, ())
+
+    async def _keep(self) -> None:
+        backoff = BACKOFF_FROM
+        while True:
+            await self._attempt(HEARTBEAT)
+            if self._told:
+                backoff = BACKOFF_FROM
+            # Jittered: all proxies lost the same service at the same time.
+            await asyncio.sleep(backoff * (0.5 + self._rng.random()))
+            backoff = min(2.0 * backoff, BACKOFF_TO)
+
+    async def _attempt(self, first_wait: float) -> None:
+        """One watch until it ends, whatever ends it."""
+        self._told = False
+        try:
+            await self._watch(first_wait)
+        except (OSError, EOFError, TimeoutError, Unreadable) as fault:
+            log.info("discovery: the watch ended: %s", fault or type(fault).__name__)
+        except Exception:
+            log.exception("discovery: the watch failed")
+
+    async def _watch(self, first_wait: float) -> None:
+        async with asyncio.timeout(CONNECT):
+            reader, writer = await asyncio.open_connection(*self._address)
+        try:
+            host = "{}:{}".format(*self._address)
+            writer.write(f"GET /discovery/hosts?watch=1&from={self._seq} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+            body = _Body()
+            wait = first_wait
+            while not body.ended:
+                # A machine that vanishes says nothing: only missing heartbeats tell.
+                async with asyncio.timeout(wait):
+                    data = await reader.read(65536)
+                if not data:
+                    raise EOFError("ended by discovery")
+                body.feed(data)
+                if body.status and body.status != 200:
+                    raise Unreadable(f"status {body.status}")
+                if body.status:
+                    wait = HEARTBEAT
+                lines, body.lines = body.lines, []
+                for line in lines:
+                    if line.strip():
+                        self._line(line)
+        finally:
+            writer.close()
+
+    def _line(self, line: bytes) -> None:
+        try:
+            listing = read_listing(orjson.loads(line), self._zones)
+        except orjson.JSONDecodeError as fault:
+            # What it told is lost: a new watch from the last good version brings it again.
+            raise Unreadable(f"a line is not JSON: {fault}") from None
+        if not listing.whole and listing.seq < self._seq:
+            # A change to a list that is older than ours would undo what we know.
+            self._seq = 0
+            raise Unreadable(f"seq went back to {listing.seq}")
+        self._seq = listing.seq
+        self._told = True
+        self._changed(ListKind.WHOLE if listing.whole else ListKind.PATCH, listing.entries)
--- /dev/null
+++ b/cometusher/proxy.py
@@ -0,0 +1,422 @@
+"""The centre: owns the balancer, its clock and the table of requests; events in, actions out.
+
+Every event goes one way: into the module, and the module's actions are carried out in their order.
+What comes of them returns as later events. Nothing here picks, retries, refuses or sheds.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable, Sequence
+from random import Random
+
+from cometusher.backends import Attempt, Backends
+from cometusher.budget import BodyMemory, Descriptors
+from cometusher.callers import CallerConnection, Callers
+from cometusher.config import Config
+from cometusher.discovery import Discovery, Entry, read_listing
+from cometusher.http1 import (
+    Headers,
+    Malformed,
+    Request,
+    Response,
+    end_to_end,
+    format_budget,
+    parse_budget,
+    request_head,
+)
+from weldroute import (
+    Action,
+    Balancer,
+    Cancel,
+    Fail,
+    ListKind,
+    Outcome,
+    Refuse,
+    Repeat,
+    Send,
+    State,
+    Subscribe,
+    Timer,
+)
+from weldroute.model import Discovery as DiscoveryMode
+
+log = logging.getLogger(__name__)
+
+READY_PATH = b"/up"
+SWEEP = 0.1  # seconds between looks at idle connections and time limits
+REPORT = 10.0  # seconds between lines of figures in the log
+PRIVATE = frozenset({b"x-load-report", b"x-rejected"})  # between backends and proxies only
+
+
+class Clock:
+    """Unix time that never jumps, so that it compares with the birth of backends and with itself."""
+
+    def __init__(self) -> None:
+        self._offset = time.time() - time.monotonic()
+
+    def now(self) -> float:
+        """Seconds."""
+        return self._offset + time.monotonic()
+
+
+class Exchange:
+    """A request that was taken: one final answer is owed, and its attempts end here."""
+
+    __slots__ = (
+        "answered", "attempts", "caller", "deadline", "headers", "open", "proxy", "repeatable", "request", "rid",
+        "timer", "why",
+    )
+
+    def __init__(self, proxy: Proxy, caller: CallerConnection, request: Request, rid: str, deadline: float) -> None:
+        self.proxy = proxy
+        self.caller = caller
+        self.request = request
+        self.rid = rid
+        self.deadline = deadline
+        self.headers: Headers = []
+        self.repeatable = False  # the class is harmless to repeat
+        self.attempts: list[Attempt] = []
+        self.open = 0
+        self.answered = False
+        self.timer: asyncio.TimerHandle | None = None
+        self.why = ""  # how the last attempt ended
+
+    def caller_left(self) -> None:
+        self.proxy.caller_left(self)
+
+    def caller_ready(self, ready: bool) -> None:
+        for attempt in self.attempts:
+            if attempt.streaming and attempt.connection is not None:
+                attempt.connection.hold_back(not ready)
+
+
+class Proxy:
+    """One proxy: its parts, and the dispatch between them and the module."""
+
+    def __init__(self, config: Config) -> None:
+        loop = asyncio.get_running_loop()
+        settings = config.settings
+        self.loop = loop
+        self.clock = Clock()
+        self.config = config
+        self.descriptors = Descriptors(config.sockets)
+        self.memory = BodyMemory(config.memory_mb)
+        self.callers = Callers(loop, self, self.descriptors, self.memory)
+        self.backends = Backends(
+            loop, self, self.descriptors, settings.limits.connect_timeout, settings.limits.connection_idle
+        )
+        self.balancer = Balancer(settings, config.seed)
+        self._rng = Random(config.seed + 1)  # jitter of the proxy's own; the module's stays reproducible
+        self._kinds = {kind.name.encode(): i for i, kind in enumerate(settings.classes)}
+        self._tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
+        self._exchanges: dict[str, Exchange] = {}
+        self._count = 0
+        self._tallies: dict[str, int] = {}
+        self._report_at = loop.time() + REPORT
+        known = read_listing({"hosts": []} | config.known, config.zones)
+        self.discovery = Discovery(
+            config.discovery, config.zones, known.seq, settings.discovery is DiscoveryMode.PUSHED,
+            self._rng, self._listed,
+        )
+        self._listed(ListKind.STALE, known.entries)
+
+    # ---- life ----------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Listen, and follow discovery."""
+        self._dispatch(None, lambda now: self.balancer.start(now))
+        self.callers.listen(self.config.listen)
+        self.discovery.start()
+        self.loop.call_later(SWEEP, self._sweep)
+
+    async def drain(self) -> None:
+        """End in order: everything that was taken is answered."""
+        await self.callers.drain()
+        await self.discovery.stop()
+
+    def _sweep(self) -> None:
+        self.loop.call_later(SWEEP, self._sweep)
+        self.backends.sweep()
+        self.callers.sweep()
+        if self._tallies and self.loop.time() >= self._report_at:
+            self._report_at = self.loop.time() + REPORT
+            busy, idle = self.backends.counts()
+            log.info(
+                "%s; now: %d requests, %d callers, backends %d busy %d idle, descriptors peak %d, bodies peak %d kB",
+                ", ".join(f"{name} {n}" for name, n in sorted(self._tallies.items())), len(self._exchanges),
+                self.callers.count(), busy, idle, self.descriptors.peak, self.memory.peak // 1024,
+            )
+            self._tallies.clear()
+
+    def _tally(self, name: str) -> None:
+        self._tallies[name] = self._tallies.get(name, 0) + 1
+
+    # ---- dispatch ------------------------------------------------------------------------
+
+    def _dispatch(self, exchange: Exchange | None, event: Callable[[float], list[Action]]) -> None:
+        """One event into the module, and its actions in their order."""
+        try:
+            actions = event(self.clock.now())
+        except Exception:
+            # Guards the process: one request fails, the others go on.
+            log.exception("the module failed")
+            if exchange is not None:
+                self._abandon(exchange)
+            return
+        for action in actions:
+            try:
+                self._carry_out(action)
+            except Exception:
+                log.exception("an action failed: %r", action)
+                if exchange is not None:
+                    self._abandon(exchange)
+
+    def _carry_out(self, action: Action) -> None:
+        if isinstance(action, Send):
+            self._send(action)
+        elif isinstance(action, Refuse):
+            self._refuse(action)
+        elif isinstance(action, Fail):
+            exchange = self._exchanges[action.request]
+            self._fail(exchange, exchange.why or "no backend took it")
+        elif isinstance(action, Cancel):
+            exchange = self._exchanges[action.request]
+            self._stop(exchange.attempts[action.attempt], Outcome.CANCELLED)
+        elif isinstance(action, Timer):
+            self._set_timer(action)
+        else:
+            assert isinstance(action, Subscribe)
+            self.discovery.subscribe()
+
+    def _set_timer(self, action: Timer) -> None:
+        delay = max(0.0, action.at - self.clock.now())
+        token = action.token
+        self.loop.call_later(delay, lambda: self._dispatch(None, lambda now: self.balancer.timer(now, token)))
+
+    # ---- requests ------------------------------------------------------------------------
+
+    def take(self, caller: CallerConnection, request: Request) -> Exchange | None:
+        """A whole request has come."""
+        if request.target == READY_PATH and request.method == b"GET":
+            caller.answer(503 if self.callers.ending else 200, [], b"")
+            return None
+        try:
+            kind, budget = self._read(request)
+        except Malformed as fault:
+            self._tally("malformed")
+            log.info("bad request: %s", fault)
+            caller.answer(fault.status, [(b"content-type", b"text/plain")], f"{fault}\n".encode())
+            return None
+        tenant = self._tenants.get(request.header(b"x-caller") or b"", len(self._tenants))
+        now = self.clock.now()
+        if budget is None:
+            budget = self.config.settings.classes[kind].deadline
+        # Read ahead on a busy connection, it has been waiting since its last byte came.
+        deadline = now - (self.loop.time() - request.arrived) + budget
+        self._count += 1
+        exchange = Exchange(self, caller, request, str(self._count), deadline)
+        exchange.headers = [h for h in end_to_end(request.headers) if h[0] != b"x-budget"]
+        exchange.repeatable = self.config.settings.classes[kind].repeat is Repeat.SAFE
+        self._exchanges[exchange.rid] = exchange
+        exchange.timer = self.loop.call_later(max(0.0, deadline - now), self._deadline, exchange)
+        self._dispatch(exchange, lambda now: self.balancer.request(now, exchange.rid, kind, tenant, deadline))
+        return exchange
+
+    def _read(self, request: Request) -> tuple[int, float | None]:
+        """Class and budget of a request."""
+        if not request.header(b"x-call-id"):
+            raise Malformed(400, "no X-Call-Id")
+        name = request.header(b"x-call-class")
+        kind = self._kinds.get(name or b"")
+        if kind is None:
+            raise Malformed(400, "unknown X-Call-Class" if name else "no X-Call-Class")
+        budget = request.header(b"x-budget")
+        return kind, None if budget is None else parse_budget(budget)
+
+    def caller_left(self, exchange: Exchange) -> None:
+        """The caller has gone away."""
+        if exchange.answered:
+            return
+        self._tally("left")
+        exchange.answered = True
+        self._dispatch(exchange, lambda now: self.balancer.gone(now, exchange.rid))
+        for attempt in exchange.attempts:
+            if attempt.streaming and not attempt.ended:
+                self._stop(attempt, Outcome.CANCELLED)  # there is nowhere to pass the rest on to
+        self._settle(exchange)
+
+    def _deadline(self, exchange: Exchange) -> None:
+        early = exchange.deadline - self.clock.now()
+        if early > 0.0:  # event loop timers are coarse; the module must see the deadline as past
+            exchange.timer = self.loop.call_later(early + 0.001, self._deadline, exchange)
+            return
+        exchange.timer = None
+        for attempt in exchange.attempts:
+            if not attempt.ended:
+                how_far = self.backends.stop(attempt)
+                # Guards against a machine that has vanished: its other connections are as silent.
+                self.backends.drop_idle(attempt.server)
+                self.attempt_ended(attempt, Outcome.TIMEOUT, None, f"no answer by the deadline: {how_far}")
+        if not exchange.answered:
+            log.error("request %s was not answered by its deadline", exchange.rid)
+            self._abandon(exchange)
+
+    def _settle(self, exchange: Exchange) -> None:
+        """Forget an exchange when nothing of it is left."""
+        if exchange.answered and not exchange.open:
+            if exchange.timer is not None:
+                exchange.timer.cancel()
+                exchange.timer = None
+            self._exchanges.pop(exchange.rid, None)
+
+    def _abandon(self, exchange: Exchange) -> None:
+        """The module or an action failed: the request fails, and nothing more goes out for it."""
+        if not exchange.answered:
+            self._fail(exchange, "internal fault")
+        for attempt in exchange.attempts:
+            if not attempt.ended:
+                self._stop(attempt, Outcome.CANCELLED)
+        try:
+            self.balancer.gone(self.clock.now(), exchange.rid)
+        except Exception:
+            log.exception("the module failed to let a request go")
+        self._settle(exchange)
+
+    # ---- final answers -------------------------------------------------------------------
+
+    def _refuse(self, action: Refuse) -> None:
+        exchange = self._exchanges[action.request]
+        if exchange.answered:
+            return
+        headers: Headers = [(b"content-type", b"text/plain")]
+        if action.retry_after > 0.0:
+            headers.append((b"retry-after", b"%.3f" % action.retry_after))
+        self._tally("refused")
+        log.info("refused: %s", exchange.why or "at the door")
+        self._answer(exchange, 503, headers, b"refused\n")
+
+    def _fail(self, exchange: Exchange, why: str) -> None:
+        if exchange.answered:
+            return
+        self._tally("failed")
+        late = self.clock.now() >= exchange.deadline
+        log.info("failed: %s", why)
+        self._answer(exchange, 504 if late else 502, [(b"content-type", b"text/plain")], b"failed\n")
+
+    def _answer(self, exchange: Exchange, status: int, headers: Headers, body: bytes) -> None:
+        exchange.answered = True
+        if any(attempt.streaming for attempt in exchange.attempts):
+            exchange.caller.break_off()
+        else:
+            exchange.caller.answer(status, headers, body)
+        self._settle(exchange)
+
+    # ---- attempts ------------------------------------------------------------------------
+
+    def _send(self, action: Send) -> None:
+        exchange = self._exchanges[action.request]
+        now = self.clock.now()
+        attempt = Attempt(exchange, len(exchange.attempts), action.server, now, exchange.repeatable)
+        exchange.attempts.append(attempt)
+        exchange.open += 1
+        request = exchange.request
+        left = exchange.deadline - now
+        if action.timeout > 0.0 and action.timeout < left:
+            left = action.timeout
+            self.loop.call_later(left, self._attempt_timeout, attempt)
+        headers = [*exchange.headers, (b"x-budget", format_budget(left))]
+        if request.body or request.method == b"POST":
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        attempt.head = request_head(request.method, request.target, headers)
+        attempt.body = request.body
+        self.backends.send(attempt)
+
+    def _stop(self, attempt: Attempt, how: Outcome) -> None:
+        """Give an attempt up; the module is told later, as of any end."""
+        if not attempt.ended:
+            self.backends.stop(attempt)
+            self.loop.call_soon(self.attempt_ended, attempt, how, None, "given up")
+
+    def _attempt_timeout(self, attempt: Attempt) -> None:
+        if not attempt.ended and not attempt.streaming:
+            how_far = self.backends.stop(attempt)
+            self.backends.drop_idle(attempt.server)
+            self.attempt_ended(attempt, Outcome.TIMEOUT, None, f"no answer within the attempt's time: {how_far}")
+
+    def attempt_streams(self, attempt: Attempt, response: Response) -> None:
+        """A long answer begins: it is the final one, and has no deadline any more."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        if exchange.answered:
+            return
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+            exchange.timer = None
+        exchange.caller.begin(_passed_on(response), response.length)
+        exchange.caller.release_body()
+        self._dispatch(exchange, lambda now: self.balancer.begun(now, exchange.rid, attempt.number))
+
+    def attempt_data(self, attempt: Attempt, data: bytes) -> None:
+        """More of a long answer."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        if not exchange.answered:
+            exchange.caller.more(data)
+
+    def attempt_ended(self, attempt: Attempt, how: Outcome, response: Response | None, why: str) -> None:
+        """The end of an attempt, told to the module; a first success is passed on."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        exchange.open -= 1
+        latency = self.clock.now() - attempt.sent
+        if how is not Outcome.OK and how is not Outcome.CANCELLED:
+            exchange.why = f"backend {attempt.server:x}: {why}"
+            self._tally(how.value)
+        if not exchange.answered:
+            if attempt.streaming:
+                self._stream_ended(exchange, how)
+            elif how is Outcome.OK and response is not None:
+                exchange.answered = True
+                self._tally("served")
+                exchange.caller.answer(200, _passed_on(response), b"".join(response.body))
+        last = exchange.answered
+        self._dispatch(
+            exchange,
+            lambda now: self.balancer.outcome(now, exchange.rid, attempt.number, how, latency, last),
+        )
+        self._settle(exchange)
+
+    def _stream_ended(self, exchange: Exchange, how: Outcome) -> None:
+        exchange.answered = True
+        if how is Outcome.OK:
+            self._tally("served")
+            exchange.caller.finish()
+        else:
+            self._tally("broken off")
+            log.info("a long answer was broken off: %s", exchange.why)
+            exchange.caller.break_off()
+
+    # ---- discovery -----------------------------------------------------------------------
+
+    def _listed(self, kind: ListKind, entries: Sequence[Entry]) -> None:
+        """The list, a change to it, or the news that a call failed."""
+        if kind is not ListKind.BROKEN and kind is not ListKind.PATCH:
+            for gone in set(self.backends.known()) - {entry.row.server for entry in entries}:
+                self.backends.forget(gone)
+        for entry in entries:
+            row = entry.row
+            if row.state is State.GONE:
+                self.backends.forget(row.server)
+            else:
+                self.backends.update(row.server, entry.dial, row.started, row.state is State.UP)
+        if kind is not ListKind.BROKEN and entries:
+            log.info("list: %s of %d backends", kind.value, len(entries))
+        rows = [entry.row for entry in entries]
+        self._dispatch(None, lambda now: self.balancer.members(now, kind, rows))
+
+
+def _passed_on(response: Response) -> Headers:
+    return [h for h in end_to_end(response.headers) if h[0] not in PRIVATE]
--- /dev/null
+++ b/tests/test_balancer.py
@@ -0,0 +1,409 @@
+"""Unit tests of the exceptions, one for each failure found, and of list handling."""
+
+from __future__ import annotations
+
+from collections import Counter
+
+import pytest
+
+from weldroute import (
+    Balancer,
+    Cancel,
+    Discovery,
+    Fail,
+    Goal,
+    Group,
+    Limits,
+    ListKind,
+    Outcome,
+    Prices,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Send,
+    ServerRow,
+    Settings,
+    State,
+    Subscribe,
+    Tenant,
+    Timer,
+)
+from weldroute.decide import COPY
+
+SAFE = RequestClass("safe", aim=1.0, deadline=4.0, repeat=Repeat.SAFE)
+UNSAFE = RequestClass("unsafe", aim=1.0, deadline=4.0, repeat=Repeat.UNSAFE)
+
+
+def made(settings: Settings, servers: int = 4, seed: int = 1) -> Balancer:
+    b = Balancer(settings, seed)
+    b.members(0.0, ListKind.STALE, [ServerRow(i, zone=i % settings.zones) for i in range(servers)])
+    b.start(0.0)
+    return b
+
+
+def one(actions: list[object]) -> Send:
+    sends = [a for a in actions if isinstance(a, Send)]
+    assert len(sends) == 1
+    return sends[0]
+
+
+def test_failing_fast_does_not_look_quick() -> None:
+    b = made(Settings(classes=(UNSAFE,)), 2)
+    picked: Counter[int] = Counter()
+    for i in range(300):
+        now = i * 0.05
+        server = one(list(b.request(now, f"r{i}", 0, deadline=now + 4))).server
+        picked[server] += 1
+        how = Outcome.ERROR if server == 0 else Outcome.OK
+        b.outcome(now + 0.01, f"r{i}", 0, how, 0.001 if server == 0 else 0.1)
+    assert picked[0] < 0.2 * picked[1]
+
+
+def test_hung_server_is_left_alone_before_any_timeout() -> None:
+    b = made(Settings(classes=(UNSAFE,)), 2)
+    picked: Counter[int] = Counter()
+    for i in range(60):
+        now = i * 0.05
+        server = one(list(b.request(now, f"r{i}", 0, deadline=now + 100))).server
+        picked[server] += 1
+        if server == 1:
+            b.outcome(now + 0.04, f"r{i}", 0, Outcome.OK, 0.04)
+    assert picked[0] <= 4
+
+
+def test_cut_zone_is_learned_as_one() -> None:
+    b = made(Settings(classes=(UNSAFE,), zones=2), 10)
+    far = 0
+    for i in range(400):
+        now = i * 0.02
+        send = [a for a in b.request(now, f"r{i}", 0, deadline=now + 4) if isinstance(a, Send)]
+        if not send:
+            continue
+        if send[0].server % 2:
+            far += i > 100
+            b.outcome(now + 0.01, f"r{i}", 0, Outcome.UNREACHABLE, 0.01)
+            if f"r{i}" in b.requests:
+                b.outcome(now + 0.01, f"r{i}", 1, Outcome.OK, 0.1)
+        else:
+            b.outcome(now + 0.01, f"r{i}", 0, Outcome.OK, 0.1)
+    assert 1 <= far <= 30  # the forced passes still try it
+
+
+def test_slow_answers_are_refused_early_and_least_worth_first() -> None:
+    cheap = RequestClass("a", aim=0.5, deadline=4.0, repeat=Repeat.SAFE, worth=1.0)
+    dear = RequestClass("b", aim=0.5, deadline=4.0, repeat=Repeat.SAFE, worth=8.0)
+    b = made(Settings(classes=(cheap, dear)), 4)
+    refused: Counter[int] = Counter()
+    late: list[tuple[float, str]] = []
+    for i in range(1000):
+        now = i * 0.01
+        while late and late[0][0] <= now:
+            at, rid = late.pop(0)
+            b.outcome(at, rid, 0, Outcome.OK, 1.0)
+        rid = f"r{i}"
+        actions = b.request(now, rid, i % 2, deadline=now + 4)
+        if any(isinstance(a, Refuse) for a in actions):
+            refused[i % 2] += 1
+        elif i % 2 and i % 4 == 1:
+            b.outcome(now, rid, 0, Outcome.OK, 0.1)  # half of the dear ones are in time
+        else:
+            late.append((now + 1.0, rid))
+    assert refused[0] > 100
+    assert refused[0] > 1.5 * refused[1]
+
+
+def test_failures_without_load_do_not_spiral() -> None:
+    """A third of calls fails whatever the load, the rest is quick: refusing more would save none."""
+    b = made(Settings(classes=(RequestClass("u", aim=1.0, deadline=4.0),)), 4)
+    refused = 0
+    for i in range(1500):
+        now = i * 0.02
+        rid = f"r{i}"
+        actions = b.request(now, rid, 0, deadline=now + 4)
+        if any(isinstance(a, Refuse) for a in actions):
+            refused += 1
+        else:
+            b.outcome(now, rid, 0, Outcome.BROKEN if i % 3 == 0 else Outcome.OK, 0.05)
+    assert refused <= 15
+
+
+def test_lower_tier_has_no_entry() -> None:
+    assert made(Settings(classes=(SAFE,), tier=1, tiers=2)).entry is None
+
+
+def test_over_share_tenant_goes_first() -> None:
+    config = Settings(
+        classes=(SAFE,), tenants=(Tenant("a", 0.5, 10.0), Tenant("b", 0.5, 10.0)), over_share_worth=0.1,
+        goal=Goal(whole=0.7, worst_tenant=0.3),
+    )
+    b = made(config)
+    refused: Counter[int] = Counter()
+    due: list[tuple[float, str, Outcome]] = []
+    taken: list[float] = []  # the tier can do 40 a second
+    for i in range(2000):
+        now = i * 0.01
+        taken = [t for t in taken if t > now - 0.5]
+        while due and due[0][0] <= now:
+            at, ended, outcome = due.pop(0)
+            for number in range(3):
+                b.outcome(at, ended, number, outcome, 0.8)
+        tenant = 1 if i % 10 == 0 else 0  # tenant 0 sends 90 a second, tenant 1 sends its 10
+        rid = f"r{i}"
+        if any(isinstance(a, Refuse) for a in b.request(now, rid, 0, tenant, now + 4)):
+            refused[tenant] += 1
+        else:
+            how = Outcome.OK if len(taken) < 20 else Outcome.BROKEN
+            if how is Outcome.OK:
+                taken.append(now)
+            due.append((now + 0.8, rid, how))
+    assert refused[0] > 300
+    assert refused[1] <= 0.35 * 200
+
+
+def test_keyed_request_is_repeated_in_its_cell_or_failed() -> None:
+    kind = RequestClass("k", 1.0, 4.0, Repeat.KEYED, Group.CELL, window=2.0)
+    b = Balancer(Settings(classes=(kind,)), 1)
+    b.members(0.0, ListKind.WHOLE, [ServerRow(1, cell=0), ServerRow(2, cell=0), ServerRow(3, cell=1)])
+    for i in range(8):
+        send = one(list(b.request(0.0, f"r{i}", 0, deadline=4.0)))
+        again = b.outcome(0.1, f"r{i}", 0, Outcome.ERROR, 0.1)
+        if send.server == 3:
+            assert again == [Fail(f"r{i}")]
+        elif isinstance(again[0], Send):
+            assert {send.server, again[0].server} == {1, 2}
+
+
+def test_restarted_server_starts_afresh_and_gone_ones_get_nothing() -> None:
+    b = made(Settings(classes=(UNSAFE,)), 3)
+    for i in range(30):
+        server = one(list(b.request(0.1 * i, f"r{i}", 0, deadline=50.0))).server
+        b.outcome(0.1 * i, f"r{i}", 0, Outcome.OK, 0.1)
+    assert b.servers[1].breaker is not None
+    b.members(4.0, ListKind.PATCH, [ServerRow(1, started=3.0)])
+    assert b.servers[1].breaker is None
+    b.members(5.0, ListKind.PATCH, [ServerRow(0, State.DRAINING)])
+    b.members(5.0, ListKind.WHOLE, [ServerRow(0, State.DRAINING), ServerRow(2)])
+    for i in range(20):
+        server = one(list(b.request(5.0 + 0.1 * i, f"s{i}", 0, deadline=50.0))).server
+        assert server == 2
+        b.outcome(5.0 + 0.1 * i, f"s{i}", 0, Outcome.OK, 0.1)
+
+
+def test_no_servers_means_refused() -> None:
+    b = made(Settings(classes=(UNSAFE,)), 0)
+    assert b.request(0.0, "r", 0, deadline=1.0) == [Refuse("r")]
+
+
+def test_discovery_is_asked_with_jitter_and_backoff() -> None:
+    config = Settings(classes=(SAFE,), discovery=Discovery.ON_REQUEST)
+    starts = set()
+    for seed in range(5):
+        b = Balancer(config, seed)
+        b.members(0.0, ListKind.STALE, [ServerRow(1)])
+        (timer,) = b.start(0.0)
+        assert isinstance(timer, Timer)
+        starts.add(timer.at)
+        assert b.timer(timer.at, timer.token) == [Subscribe()]
+        assert b.timer(timer.at, timer.token) == []  # a stale timer
+        waits = []
+        for _ in range(4):
+            (again,) = b.members(1.0, ListKind.BROKEN, [])
+            assert isinstance(again, Timer)
+            assert b.members(1.0, ListKind.BROKEN, []) == []  # one call at a time
+            waits.append(again.at - 1.0)
+            b.timer(again.at, again.token)
+        assert waits[3] > waits[0]
+        assert max(waits) <= 1.5 * config.rules.ask_within
+    assert len(starts) == 5
+
+
+def test_working_sets_cover_every_server_alike() -> None:
+    seen: Counter[int] = Counter()
+    for me in range(40):
+        b = Balancer(Settings(classes=(SAFE,), balancers=40, me=me), me)
+        b.members(0.0, ListKind.WHOLE, [ServerRow(i) for i in range(80)])
+        for s in b.near.used:
+            seen[s.row.server] += 1
+    assert len(seen) == 80
+    assert max(seen.values()) - min(seen.values()) <= 1
+
+
+def test_stale_outcomes_and_aborted_requests_are_ignored() -> None:
+    b = made(Settings(classes=(SAFE,)))
+    assert b.outcome(0.0, "never", 0, Outcome.OK, 0.1) == []
+    b.request(0.0, "r", 0, deadline=4.0)
+    assert b.outcome(0.1, "r", 5, Outcome.OK, 0.1) == []
+    assert b.gone(0.2, "r") == []
+    assert b.gone(0.2, "r") == []
+    assert b.outcome(0.3, "r", 0, Outcome.OK, 0.3, True) == []
+    assert b.requests == {}
+
+
+@pytest.mark.parametrize(
+    ("settings", "field"),
+    [
+        (Settings(classes=()), "classes"),
+        (Settings(classes=(RequestClass(aim=-1.0),)), r"classes\[0\].aim"),
+        (Settings(balancers=2, me=2), "me"),
+        (Settings(tiers=1, tier=1), "tier"),
+        (Settings(tenants=(Tenant(share=2.0),)), r"tenants\[0\].share"),
+        (Settings(limits=Limits(max_attempts=0)), "limits.max_attempts"),
+        (Settings(goal=Goal(whole=float("nan"))), "goal.whole"),
+    ],
+)
+def test_senseless_settings_name_the_field(settings: Settings, field: str) -> None:
+    with pytest.raises(ValueError, match=field):
+        Balancer(settings, 1)
+
+
+def test_begun_stream_is_left_alone_until_it_ends() -> None:
+    kind = RequestClass("s", 1.0, 4.0, Repeat.SAFE, streaming=True)
+    b = made(Settings(classes=(kind,), limits=Limits(cancel=True, max_attempts=3)))
+    b.request(0.0, "r", 0, deadline=4.0)
+    assert b.begun(0.1, "r", 0) == []
+    assert b.gone(1.0, "r") == []  # a stream is not cancelled
+    assert b.outcome(1.1, "r", 0, Outcome.BROKEN, 1.1, True) == []  # its break concludes the request
+    b.request(2.0, "q", 0, deadline=6.0)
+    b.begun(2.1, "q", 0)
+    assert b.outcome(9.0, "q", 0, Outcome.OK, 7.0, True) == []
+    assert b.requests == {}
+    assert b.begun(9.0, "never", 0) == []
+
+
+def test_failed_attempt_goes_elsewhere_until_attempts_run_out() -> None:
+    b = made(Settings(classes=(RequestClass("s", 1.0, 4.0, Repeat.SAFE),), limits=Limits(max_attempts=3)), 8)
+    sent = [one(list(b.request(0.0, "r", 0, deadline=4.0))).server]
+    for number in range(2):
+        sent.append(one(list(b.outcome(0.1, "r", number, Outcome.ERROR, 0.1))).server)
+    assert len(set(sent)) == 3
+    assert b.outcome(0.2, "r", 2, Outcome.ERROR, 0.1) == [Refuse("r")]
+
+
+def _burst(b: Balancer, start: float, count: int, gap: float) -> int:
+    """Requests that get no answer at all; how many of them are refused."""
+    refused = 0
+    for i in range(count):
+        now = start + i * gap
+        actions = list(b.request(now, f"burst{i}", 0, deadline=now + 4))
+        refused += any(isinstance(a, Refuse) for a in actions)
+    return refused
+
+
+def _steady(b: Balancer, seconds: float, gap: float, latency: float) -> None:
+    """Ordinary traffic that is answered after `latency`."""
+    waiting: list[tuple[float, str]] = []
+    for i in range(int(seconds / gap)):
+        now = i * gap
+        while waiting and waiting[0][0] <= now:
+            due, rid = waiting.pop(0)
+            b.outcome(due, rid, 0, Outcome.OK, latency)
+        assert one(list(b.request(now, f"s{i}", 0, deadline=now + 4)))
+        waiting.append((now + latency, f"s{i}"))
+    for due, rid in waiting:
+        b.outcome(due, rid, 0, Outcome.OK, latency)
+
+
+def test_burst_is_refused_before_any_answer_is_late() -> None:
+    b = made(Settings(classes=(SAFE,)), 6)
+    _steady(b, 6.0, 0.05, 0.1)
+    # Ten times the pace for 0.8 s, nothing of it answered or late yet.
+    assert _burst(b, 6.1, 160, 0.005) > 80
+
+
+def test_a_short_wait_at_the_usual_pace_is_not_refused() -> None:
+    b = made(Settings(classes=(SAFE,)), 6)
+    _steady(b, 6.0, 0.05, 0.1)
+    assert _burst(b, 6.1, 6, 0.05) == 0
+
+
+def test_calls_stuck_for_long_are_no_queue() -> None:
+    b = made(Settings(classes=(SAFE,)), 6)
+    _steady(b, 6.0, 0.05, 0.1)
+    assert b.entry is not None
+    stuck = 0
+    for i in range(40):  # a fifth is never answered, the rest is quick
+        now = 6.1 + i * 0.05
+        if any(isinstance(a, Send) for a in b.request(now, f"x{i}", 0, deadline=now + 4)):
+            if i % 5:
+                b.outcome(now, f"x{i}", 0, Outcome.OK, 0.1)
+            else:
+                stuck += 1
+    assert stuck >= 6
+    assert b.entry.latency_ratio(8.1) == 0.0
+
+
+def _zoned(price: float, servers: int = 12) -> Balancer:
+    return made(Settings(classes=(SAFE,), zones=3, zone=1, tier=1, tiers=2, prices=Prices(cross_zone=price)), servers)
+
+
+def test_picks_keep_to_the_own_zone_where_crossings_are_priced() -> None:
+    for price, low, high in ((0.0, 0.2, 0.5), (0.05, 0.95, 1.0)):
+        b = _zoned(price)
+        own = 0
+        for i in range(300):
+            now = i * 0.05
+            own += int(one(list(b.request(now, f"r{i}", 0, deadline=now + 4))).server) % 3 == 1
+            b.outcome(now + 0.02, f"r{i}", 0, Outcome.OK, 0.02)
+        assert low <= own / 300 <= high, price
+
+
+def test_a_slow_own_zone_spills_over() -> None:
+    b = _zoned(0.05)
+    away = 0
+    waiting: list[tuple[float, str, float]] = []
+    for i in range(300):
+        now = i * 0.05
+        for row in sorted(w for w in waiting if w[0] <= now):
+            waiting.remove(row)
+            b.outcome(row[0], row[1], 0, Outcome.OK, row[2])
+        server = int(one(list(b.request(now, f"r{i}", 0, deadline=now + 4))).server)
+        away += server % 3 != 1
+        latency = 0.9 if server % 3 == 1 else 0.02
+        waiting.append((now + latency, f"r{i}", latency))
+    assert away > 150
+
+
+def test_a_zone_without_servers_is_served_by_the_others() -> None:
+    b = Balancer(Settings(classes=(SAFE,), zones=3, zone=1, prices=Prices(cross_zone=0.05)), 1)
+    b.members(0.0, ListKind.WHOLE, [ServerRow(1, zone=0), ServerRow(2, zone=2)])
+    assert one(list(b.request(0.0, "r", 0, deadline=4.0))).server in (1, 2)
+
+
+def warmed(**limits: bool) -> Balancer:
+    """A balancer with a hundred quick answers behind it, and credit for a second copy."""
+    rows = [ServerRow(i) for i in range(4)]
+    kinds = (RequestClass(repeat=Repeat.SAFE, deadline=9.0), RequestClass(repeat=Repeat.UNSAFE, deadline=9.0))
+    b = Balancer(Settings(classes=kinds, tier=1, tiers=2, limits=Limits(cancel=True, **limits)), 1)
+    b.members(0.0, ListKind.STALE, rows)
+    for i in range(100):
+        b.request(i * 0.1, f"w{i}")
+        b.outcome(i * 0.1 + 0.05, f"w{i}", 0, Outcome.OK, 0.05, True)
+        b.timer(i * 0.1 + 0.09, COPY)
+    return b
+
+
+@pytest.mark.parametrize(("kind", "second", "sends"), [(0, True, 1), (0, False, 0), (1, True, 0)])
+def test_a_second_copy_goes_out_once_and_only_where_it_may(kind: int, second: bool, sends: int) -> None:
+    b = warmed(second_copies=second)
+    b.request(20.0, "r", kind)
+    b.timer(20.1, COPY)
+    assert b.requests["r"].open == 1, "too early"
+    out = b.timer(20.5, COPY) + b.timer(21.0, COPY)
+    assert sum(isinstance(action, Send) for action in out) == sends
+    assert Cancel("r", 0) in b.outcome(21.1, "r", 1, Outcome.OK, 0.6, True) or not sends
+
+
+def test_no_second_copy_while_the_tier_is_slow() -> None:
+    b = warmed(second_copies=True)
+    for i in range(40):
+        b.request(20.0 + i * 0.5, f"s{i}")
+        b.outcome(20.4 + i * 0.5, f"s{i}", 0, Outcome.OK, 0.4, True)
+    b.request(50.0, "r")
+    assert not any(isinstance(action, Send) for action in b.timer(59.0, COPY))
+
+
+def test_servers_that_are_gone_are_forgotten() -> None:
+    b = made(Settings(classes=(SAFE,)), servers=1)
+    for i in range(1, 50):
+        b.members(float(i), ListKind.PATCH, [ServerRow(i - 1, State.GONE), ServerRow(i)])
+    assert list(b.servers) == [49]
--- /dev/null
+++ b/tests/test_discovery.py
@@ -0,0 +1,178 @@
+"""Discovery over loopback sockets: pushed lists, lists that are asked for, and what can be wrong with them."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import pytest
+from rig import Rig, rig, serve_ok, until
+from test_proxy import run, silent
+
+from cometusher import discovery as discovery_module
+from cometusher.discovery import read_entry, server_id
+from weldroute import Action, ListKind, ServerRow, State
+
+ASKED = {"RegistryMode": "on_request"}
+
+
+def state(r: Rig, number: int) -> State:
+    """What the module knows of a backend; one that is gone is forgotten."""
+    server = r.proxy.balancer.servers.get(number)
+    return server.row.state if server is not None else State.GONE
+
+
+def test_the_watch_begins_at_the_known_version_and_changes_apply() -> None:
+    async def test() -> None:
+        async with rig(serve_ok, serve_ok) as r:
+            watch = await r.discovery.watch()
+            assert watch.line == b"GET /discovery/hosts?watch=1&from=41 HTTP/1.1"
+            watch.tell(43, r.backends[0].entry(health="terminating"))
+            await until(lambda: state(r, 1) is State.DRAINING)
+            for i in range(10):
+                assert (await r.call(rid=str(i)))[1].body == b"s-2"
+            watch.tell(44, r.backends[0].entry(health="terminated"))
+            await until(lambda: state(r, 1) is State.GONE)
+
+    run(test)
+
+
+def test_a_whole_list_replaces_the_old_one() -> None:
+    async def test() -> None:
+        async with rig(serve_ok, serve_ok) as r:
+            watch = await r.discovery.watch()
+            watch.tell(90, r.backends[1].entry(), whole=True)
+            await until(lambda: state(r, 1) is State.GONE)
+            assert state(r, 2) is State.UP
+
+    run(test)
+
+
+def test_a_new_address_is_used_from_then_on() -> None:
+    async def test() -> None:
+        async with rig(serve_ok, serve_ok) as r:
+            watch = await r.discovery.watch()
+            watch.tell(42, r.backends[1].entry(health="terminated"))
+            watch.tell(43, r.backends[0].entry(dial=f"127.0.0.1:{r.backends[1].port}"))
+            await until(lambda: r.proxy.discovery._seq == 43)
+            assert (await r.call())[1].body == b"s-2"
+
+    run(test)
+
+
+@pytest.mark.parametrize(
+    "line", [b"{]\n", b'{"seq":"x","hosts":[]}\n', b'{"seq":42}\n', b"[1]\n", b'{"seq":3,"whole":false,"hosts":[]}\n']
+)
+def test_an_unreadable_line_keeps_the_list_and_the_watch_is_renewed(line: bytes) -> None:
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            (await r.discovery.watch()).send(line)
+            watch = await r.discovery.watch()
+            assert b"&from=" in watch.line
+            assert state(r, 1) is State.UP
+            watch.tell(50, r.backends[0].entry(health="terminating"))
+            await until(lambda: state(r, 1) is State.DRAINING)
+
+    run(test)
+
+
+@pytest.mark.parametrize("odd", [{"host": 7}, {"dial": "nowhere"}, {"block": "x"}, {"born_ms": []}])
+def test_an_odd_entry_does_not_hide_the_others(odd: dict[str, Any]) -> None:
+    async def test() -> None:
+        async with rig(serve_ok, serve_ok) as r:
+            watch = await r.discovery.watch()
+            watch.tell(42, r.backends[1].entry(**odd), r.backends[0].entry(health="terminating"))
+            await until(lambda: state(r, 1) is State.DRAINING)
+            assert state(r, 2) is State.UP
+
+    run(test)
+
+
+@pytest.mark.parametrize("answer", [b"HTTP/1.1 503 X\r\nContent-Length: 0\r\n\r\n", b"what\r\n\r\n"])
+def test_a_watch_that_fails_is_asked_for_again(answer: bytes) -> None:
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            r.discovery.answer, good = answer, r.discovery.answer
+            (await r.discovery.watch()).writer.close()
+            await r.discovery.watch()
+            r.discovery.answer = good
+            assert (await r.call())[0] == 200
+            await until(lambda: r.discovery.watches.empty())
+
+    run(test)
+
+
+def test_missing_heartbeats_end_a_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A machine that vanishes leaves the connection open and silent."""
+    monkeypatch.setattr(discovery_module, "HEARTBEAT", 0.2)
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            await r.discovery.watch()
+            await r.discovery.watch()
+
+    run(test)
+
+
+def test_heartbeats_keep_a_watch(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(discovery_module, "HEARTBEAT", 5.0)
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            watch = await r.discovery.watch()
+            for _ in range(20):
+                watch.send(b"\n")
+                await asyncio.sleep(0.02)
+            assert r.discovery.watches.empty()
+
+    run(test)
+
+
+def test_where_discovery_is_asked_the_module_asks(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Every call is a Subscribe of the module, and a watch that ends is told as BROKEN."""
+    told: list[ListKind] = []
+
+    async def test() -> None:
+        async with rig(serve_ok, settings=ASKED) as r:
+            members = r.proxy.balancer.members
+
+            def collect(now: float, kind: ListKind, rows: Sequence[ServerRow]) -> list[Action]:
+                told.append(kind)
+                return members(now, kind, rows)
+
+            monkeypatch.setattr(r.proxy.balancer, "members", collect)
+            watch = await r.discovery.watch()
+            watch.tell(42, r.backends[0].entry(), whole=True)
+            await until(lambda: told == [ListKind.WHOLE])
+            watch.writer.close()
+            await until(lambda: told == [ListKind.WHOLE, ListKind.BROKEN])
+            again = await r.discovery.watch()
+            assert again.line.endswith(b"from=42 HTTP/1.1")
+
+    run(test)
+
+
+def test_a_drain_does_not_touch_what_is_under_way() -> None:
+    async def test() -> None:
+        async with rig(silent) as r:
+            caller = await r.caller()
+            caller.writer.write(b"GET /up HTTP/1.1\r\n\r\n")
+            await caller.answer()
+            watch = await r.discovery.watch()
+            pending = asyncio.ensure_future(r.call(kind="once", budget="400m"))
+            await asyncio.wait_for(r.backends[0].arrived.wait(), 5.0)
+            watch.tell(42, r.backends[0].entry(health="terminating"))
+            await until(lambda: state(r, 1) is State.DRAINING)
+            assert (await pending)[0] == 504  # it was waited for, to the deadline
+
+    run(test)
+
+
+def test_ids_and_words() -> None:
+    assert server_id("s-5be2a07c") == 0x5BE2A07C
+    assert server_id("s-1") == 1
+    assert server_id("anything else") == server_id("anything else") < 2**32
+    item = {"host": "s-1", "dial": "127.0.0.1:1", "site": "b", "health": "on_fire", "born_ms": 1500, "block": 3}
+    row = read_entry(item, ("a", "b")).row
+    assert (row.zone, row.cell, row.started, row.state) == (1, 3, 1.5, State.DRAINING)
--- /dev/null
+++ b/tests/test_process.py
@@ -0,0 +1,139 @@
+"""The program as it is started: configuration, readiness, SIGTERM, exit codes."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from rig import PATIENCE, SETTINGS, Backend, Caller, Script, Seen, Writer, reply, request, serve_ok
+from test_proxy import run
+
+ROOT = Path(__file__).parent.parent
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind(("127.0.0.1", 0))
+        return int(sock.getsockname()[1])
+
+
+async def launch(environ: dict[str, str]) -> asyncio.subprocess.Process:
+    base = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+    return await asyncio.create_subprocess_exec(
+        sys.executable, "-m", "cometusher", cwd=ROOT, env=base | environ, stderr=asyncio.subprocess.PIPE
+    )
+
+
+@contextlib.asynccontextmanager
+async def proxy(tmp_path: Path, script: Script) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Backend]]:
+    """A proxy process before one backend, ready."""
+    backend = Backend(1, script)
+    await backend.start()
+    port = free_port()
+    config = {
+        "name": "t", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "ab",
+        "limits": {"memory_mb": 192, "sockets": 128}, "extra": 1,
+        "known": {"seq": 1, "whole": True, "hosts": [backend.entry()]}, "settings": SETTINGS,
+    }
+    path = tmp_path / "config.json"
+    path.write_bytes(orjson.dumps(config))
+    process = await launch({"LB_CONFIG": str(path)})
+    try:
+        async with asyncio.timeout(PATIENCE):
+            while True:
+                with contextlib.suppress(OSError):
+                    caller = await connect(port)
+                    caller.writer.write(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
+                    assert (await caller.answer())[0] == 200
+                    break
+                await asyncio.sleep(0.02)
+        yield process, port, backend
+    finally:
+        with contextlib.suppress(ProcessLookupError):
+            process.kill()
+        await process.communicate()
+        await backend.stop()
+
+
+async def connect(port: int) -> Caller:
+    return Caller(*await asyncio.open_connection("127.0.0.1", port))
+
+
+def test_sigterm_finishes_what_was_taken(tmp_path: Path) -> None:
+    """Requests in work, on old connections and on ones that come after the signal, are all answered."""
+    go = asyncio.Event()
+
+    async def wait(backend: Backend, seen: Seen, writer: Writer) -> None:
+        await go.wait()
+        writer.write(reply(body=b"late"))
+
+    async def test() -> None:
+        async with proxy(tmp_path, wait) as (process, port, _):
+            idle = await connect(port)
+            early = await connect(port)
+            early.writer.write(request())
+            await early.writer.drain()
+            process.send_signal(signal.SIGTERM)
+            after = await connect(port)  # connections still come for a while
+            after.writer.write(request(rid="2"))
+            assert await idle.ended() == b""  # closed at the end of that while
+            go.set()
+            for caller in (early, after):
+                status, seen = await caller.answer()
+                assert (status, seen.body) == (200, b"late")
+                assert seen.headers[b"connection"] == b"close"
+            assert await asyncio.wait_for(process.wait(), PATIENCE) == 0
+
+    run(test)
+
+
+def test_sigterm_with_nothing_to_do_ends_at_once(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with proxy(tmp_path, serve_ok) as (process, port, _):
+            caller = await connect(port)
+            assert (await caller.call())[0] == 200
+            process.send_signal(signal.SIGTERM)
+            assert await asyncio.wait_for(process.wait(), PATIENCE) == 0
+            assert await caller.ended() == b""
+
+    run(test)
+
+
+GOOD: dict[str, Any] = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}
+
+
+@pytest.mark.parametrize(
+    ("content", "named"),
+    [
+        (None, b"LB_CONFIG"),
+        (b"{", b"LB_CONFIG"),
+        (b"[]", b"LB_CONFIG"),
+        (orjson.dumps(GOOD | {"listen": "nowhere"}), b"listen"),
+        (orjson.dumps(GOOD | {"discovery": None}), b"discovery"),
+        (orjson.dumps(GOOD | {"settings": {}}), b"settings.Services"),
+        (orjson.dumps(GOOD | {"settings": SETTINGS | {"Services": 5}}), b"settings"),
+        (orjson.dumps(GOOD | {"settings": SETTINGS | {"Bounds": {"MaxAttempts": "x"}}}), b"max_attempts"),
+        (orjson.dumps(GOOD | {"limits": {"sockets": "many"}}), b"limits.sockets"),
+        (orjson.dumps(GOOD | {"known": {"hosts": 1}}), b"known"),
+    ],
+)
+def test_a_bad_configuration_is_named_in_one_line(tmp_path: Path, content: bytes | None, named: bytes) -> None:
+    async def test() -> None:
+        path = tmp_path / "config.json"
+        if content is not None:
+            path.write_bytes(content)
+        process = await launch({"LB_CONFIG": str(path)})
+        _, errors = await asyncio.wait_for(process.communicate(), PATIENCE)
+        assert process.returncode == 2
+        assert errors.count(b"\n") == 1 and named in errors
+
+    run(test)
--- /dev/null
+++ b/weldroute/benchlink.py
@@ -0,0 +1,327 @@
+"""Adapter between the simulator's wire (JSON lines) and the decision module; it decides nothing."""
+
+from __future__ import annotations
+
+import sys
+from collections.abc import Callable
+from typing import Any, BinaryIO
+
+import orjson
+
+from weldroute.decide import Balancer
+from weldroute.model import (
+    Action,
+    Cancel,
+    Discovery,
+    Fail,
+    Goal,
+    Group,
+    Limits,
+    ListKind,
+    Outcome,
+    Prices,
+    Refuse,
+    Repeat,
+    RequestClass,
+    Rules,
+    Send,
+    ServerRow,
+    Settings,
+    State,
+    Subscribe,
+    Tenant,
+    Timer,
+    pick_known,
+)
+
+STATES = {"U": State.UP, "L": State.DRAINING, "D": State.GONE}
+REPEATS = {"retryable": Repeat.SAFE, "dedup": Repeat.KEYED, "fragile": Repeat.UNSAFE}
+GROUPS = {"all": Group.ALL, "zone": Group.ZONE, "cell": Group.CELL}
+DISCOVERY = {"pushed": Discovery.PUSHED, "on_request": Discovery.ON_REQUEST}
+KINDS = {
+    "stale_copy": ListKind.STALE,
+    "whole": ListKind.WHOLE,
+    "patch": ListKind.PATCH,
+    "broken": ListKind.BROKEN,
+}
+OUTCOMES = {
+    "success": Outcome.OK,
+    "failure": Outcome.ERROR,
+    "overloaded": Outcome.FULL,
+    "timed_out": Outcome.TIMEOUT,
+    "unreachable": Outcome.UNREACHABLE,
+    "broken": Outcome.BROKEN,
+    "withdrawn": Outcome.CANCELLED,
+    "void": Outcome.VOID,
+}
+RULES = {
+    "drain_grace": "DrainGrace",
+    "answer_slack": "GraceToAnswer",
+    "ask_within": "AskEvery",
+    "cold_from": "ColdFrom",
+    "cold_for": "Cold",
+    "fall_multiple": "FallMultiple",
+    "fall_after": "TipAfter",
+}
+GOAL = {
+    "whole": "Whole",
+    "worst_window": "WorstWindow",
+    "worst_class": "WorstClass",
+    "worst_tenant": "WorstTenant",
+}
+PRICES = {
+    "cross_zone": "CrossZone",
+    "waste": "Waste",
+    "connection": "Connection",
+    "handshake": "Handshake",
+    "probe": "Probe",
+    "late_fail": "LateFail",
+}
+LIMITS = {
+    "cancel": "Cancel",
+    "second_copies": "SecondCopies",
+    "probes": "Probes",
+    "retry_after": "RetryAfter",
+    "max_attempts": "MaxAttempts",
+    "max_retry_after": "MaxRetryAfter",
+    "connect_timeout": "DialTimeout",
+    "connection_idle": "ConnIdle",
+    "streams_per_connection": "MaxStreams",
+}
+
+
+class WireFault(Exception):
+    """A line that the wire does not allow."""
+
+
+def _named(kind: Any, names: dict[str, str], values: dict[str, Any]) -> Any:
+    return kind(**pick_known(kind, {ours: values.get(theirs) for ours, theirs in names.items()}))
+
+
+def read_settings(wire: dict[str, Any]) -> Settings:
+    """Settings of the wire in the module's own terms; unknown keys are ignored, absent ones defaulted."""
+    classes = tuple(
+        RequestClass(
+            **pick_known(
+                RequestClass,
+                {
+                    "name": row.get("Name"),
+                    "aim": row.get("Aim"),
+                    "deadline": row.get("HardLimit"),
+                    "repeat": REPEATS.get(row.get("Repeat"), Repeat.UNSAFE),
+                    "group": GROUPS.get(row.get("Group"), Group.CELL),
+                    "window": row.get("Window"),
+                    "worth": row.get("Credit"),
+                    "late_worth": row.get("LateWorth"),
+                    "streaming": row.get("Streaming"),
+                },
+            )
+        )
+        for row in wire.get("Services") or ()
+    )
+    tenants = tuple(
+        _named(Tenant, {"name": "Name", "share": "Share", "quota": "AllowancePerS"}, row)
+        for row in wire.get("Orgs") or ()
+    )
+    values = {
+        "classes": classes or None,
+        "tenants": tenants,
+        "balancers": wire.get("Instances"),
+        "me": wire.get("Ordinal"),
+        "tier": wire.get("Tier"),
+        "tiers": len(wire.get("Tiers") or ()) or None,
+        "zone": wire.get("Zone"),
+        "zones": len(wire.get("Zones") or ()) or None,
+        "discovery": DISCOVERY.get(wire.get("RegistryMode", "pushed"), Discovery.PUSHED),
+        "over_share_worth": wire.get("OverShareWorth"),
+        "passes_deadline": (wire.get("FamilyInfo") or {}).get("PassesDeadline"),
+        "report_fields": tuple((wire.get("Report") or {}).get("Fields") or ()),
+        "limits": _named(Limits, LIMITS, wire.get("Bounds") or {}),
+        "rules": _named(Rules, RULES, wire.get("Rules") or {}),
+        "goal": _named(Goal, GOAL, wire.get("Goal") or {}),
+        "prices": _named(Prices, PRICES, wire.get("Penalties") or {}),
+    }
+    return Settings(**pick_known(Settings, values))
+
+
+def read_row(row: dict[str, Any]) -> ServerRow:
+    """One entry of a `Register`."""
+    return ServerRow(
+        row["Backend"],
+        STATES[row.get("Readiness", "U")],
+        row.get("FailureDomain", 0),
+        row.get("Cluster", 0),
+        row.get("Units", 1.0),
+        row.get("StartTime", 0.0),
+    )
+
+
+def write_action(instance: int, action: Action) -> dict[str, Any]:
+    """One action as a message of the wire."""
+    if isinstance(action, Send):
+        return {
+            "m": "Relay",
+            "ProxyId": instance,
+            "Ref": action.request,
+            "Backend": action.server,
+            "Within": action.timeout,
+        }
+    if isinstance(action, Refuse):
+        return {
+            "m": "NotNow",
+            "ProxyId": instance,
+            "Ref": action.request,
+            "NotBeforeFor": action.retry_after,
+        }
+    if isinstance(action, Fail):
+        return {"m": "ReportFailure", "ProxyId": instance, "Ref": action.request}
+    if isinstance(action, Cancel):
+        return {"m": "UndoSend", "ProxyId": instance, "Ref": action.request, "RoundNo": action.attempt}
+    if isinstance(action, Timer):
+        return {"m": "Sleep", "ProxyId": instance, "When": action.at, "Tag": action.token}
+    assert isinstance(action, Subscribe)
+    return {"m": "Watch", "ProxyId": instance, "Want": True}
+
+
+class Link:
+    """All instances of one process, and the numbered lists that they share read-only."""
+
+    def __init__(self) -> None:
+        self.instances: dict[int, Balancer] = {}
+        self.fresh: set[int] = set()
+        self.lists: dict[int, tuple[ServerRow, ...]] = {}
+
+    def _members(self, b: Balancer, now: float, e: dict[str, Any]) -> list[Action]:
+        kind = KINDS[e["Mode"]]
+        rows: tuple[ServerRow, ...] = ()
+        if kind is not ListKind.BROKEN:
+            if e["List"] not in self.lists:
+                raise WireFault(f"unknown list number {e['List']}")
+            rows = self.lists[e["List"]]
+        out = b.members(now, kind, rows)
+        if e["ProxyId"] in self.fresh:
+            self.fresh.discard(e["ProxyId"])
+            out += b.start(now)
+        return out
+
+    @staticmethod
+    def _call(b: Balancer, now: float, e: dict[str, Any]) -> list[Action]:
+        return b.request(now, e["Ref"], e.get("Kind", 0), e.get("ClientGroup", 0), e.get("Deadline"))
+
+    @staticmethod
+    def _returned(b: Balancer, now: float, e: dict[str, Any]) -> list[Action]:
+        how = OUTCOMES[e["How"]]
+        return b.outcome(
+            now, e["Ref"], e.get("RoundNo", 0), how, e.get("CostTime", 0.0), e.get("Last", False)
+        )
+
+    def event(self, now: float, e: dict[str, Any]) -> list[Action]:
+        """Hand one event to its instance; returns the instance's actions."""
+        name = e["m"]
+        if name == "Register":
+            self.lists[e["List"]] = tuple(read_row(row) for row in e.get("Rows") or ())
+            return []
+        instance = e["ProxyId"]
+        if name == "OpenInstance":
+            self.instances[instance] = Balancer(read_settings(e.get("Settings") or {}), e.get("Entropy", 0))
+            self.fresh.add(instance)
+            return []
+        balancer = self.instances.get(instance)
+        if balancer is None:
+            raise WireFault(f"instance {instance} was never opened")
+        if name == "Teardown":
+            del self.instances[instance]
+            self.fresh.discard(instance)
+            return []
+        if name == "Members":
+            return self._members(balancer, now, e)
+        handler = HANDLERS.get(name)
+        if handler is None:
+            raise WireFault(f"unknown message {name!r}")
+        return handler(balancer, now, e)
+
+
+HANDLERS: dict[str, Callable[[Balancer, float, dict[str, Any]], list[Action]]] = {
+    "Call": Link._call,
+    "Returned": Link._returned,
+    "Wake": lambda b, now, e: b.timer(now, e["Tag"]),
+    "Aborted": lambda b, now, e: b.gone(now, e["Ref"]),
+    "Started": lambda b, now, e: b.begun(now, e["Ref"], e.get("RoundNo", 0)),
+    "PingResult": lambda b, now, e: [],
+    "NeighbourSays": lambda b, now, e: [],
+}
+
+
+def serve(source: BinaryIO, sink: BinaryIO, errors: Any) -> int:
+    """Answer batches until the input ends; returns the exit code."""
+    link = Link()
+    now: float | None = None
+    replies: list[bytes] = []
+    event: Any
+    for number, line in enumerate(source, 1):
+        try:
+            event = orjson.loads(line)
+            if not isinstance(event, dict) or "m" not in event:
+                raise WireFault("not a message")
+            name = event["m"]
+            if name == "Tick":
+                if now is not None:
+                    raise WireFault("a Tick inside a batch")
+                now = float(event["Time"])
+                continue
+            if now is None:
+                raise WireFault(f"{name!r} outside a batch")
+            if name == "Flush":
+                replies.append(b'{"m":"Eor"}\n')
+                sink.write(b"\n".join(replies))
+                sink.flush()
+                replies.clear()
+                now = None
+                continue
+        except (WireFault, ValueError, KeyError, TypeError) as fault:
+            return _reject(errors, number, fault)
+        try:
+            actions = link.event(now, event)
+        except (WireFault, KeyError, TypeError) as fault:
+            if isinstance(fault, WireFault) or _in_adapter(fault):
+                return _reject(errors, number, fault)
+            replies.append(_bail(event, fault))
+            continue
+        except Exception as fault:
+            replies.append(_bail(event, fault))
+            continue
+        if actions:
+            instance = event["ProxyId"]
+            for action in actions:
+                replies.append(orjson.dumps(write_action(instance, action)))
+    if now is not None:
+        return _reject(errors, 0, WireFault("the input ended inside a batch"))
+    return 0
+
+
+def _in_adapter(fault: BaseException) -> bool:
+    """Whether the fault arose in reading the message (a missing or odd field), not in a decision."""
+    trace = fault.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    return trace is not None and trace.tb_frame.f_code.co_filename == __file__
+
+
+def _bail(event: dict[str, Any], fault: BaseException) -> bytes:
+    text = f"{type(fault).__name__}: {fault}"
+    return orjson.dumps({"m": "BailOut", "ProxyId": event.get("ProxyId", 0), "NoteText": text})
+
+
+def _reject(errors: Any, number: int, fault: BaseException) -> int:
+    what = f"missing field {fault}" if isinstance(fault, KeyError) else str(fault)
+    print(f"benchlink: line {number}: {what}".replace("\n", " "), file=errors)
+    return 2
+
+
+def main() -> int:
+    """Run on standard input and output."""
+    return serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/weldroute/model.py
@@ -0,0 +1,294 @@
+"""Plain types that go into and come out of the decisions: settings, list rows, outcomes, actions.
+
+Nothing here decides anything, and nothing here knows a wire format. Times are seconds on the
+caller's clock; identifiers are whatever hashable value the embedding proxy uses.
+"""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Mapping
+from dataclasses import dataclass, field, fields
+from enum import Enum
+from typing import Any
+
+ServerId = int
+RequestId = str
+
+
+class Repeat(Enum):
+    """How far a class of request may be repeated once it may have run."""
+
+    SAFE = "safe"
+    KEYED = "keyed"
+    UNSAFE = "unsafe"
+
+
+class Group(Enum):
+    """Which servers discard the repeat of a keyed request."""
+
+    ALL = "all"
+    ZONE = "zone"
+    CELL = "cell"
+
+
+class Discovery(Enum):
+    """Whether the list of servers comes unasked or has to be asked for."""
+
+    PUSHED = "pushed"
+    ON_REQUEST = "on_request"
+
+
+class State(Enum):
+    """What the list says of a server."""
+
+    UP = "up"
+    DRAINING = "draining"
+    GONE = "gone"
+
+
+class ListKind(Enum):
+    """What a list message is."""
+
+    STALE = "stale"
+    WHOLE = "whole"
+    PATCH = "patch"
+    BROKEN = "broken"
+
+
+class Outcome(Enum):
+    """How an attempt ended."""
+
+    OK = "ok"
+    ERROR = "error"
+    FULL = "full"
+    TIMEOUT = "timeout"
+    UNREACHABLE = "unreachable"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+    VOID = "void"
+
+
+#: Outcomes that prove that the attempt never ran.
+NEVER_RAN = frozenset({Outcome.FULL, Outcome.UNREACHABLE, Outcome.VOID})
+
+
+def _number(name: str, value: float, low: float = 0.0, high: float = math.inf) -> None:
+    ok = isinstance(value, (int, float)) and not isinstance(value, bool) and low <= value <= high
+    if not ok or math.isnan(value):
+        raise ValueError(f"{name}: {value!r} is not a number from {low} to {high}")
+
+
+@dataclass(slots=True, frozen=True)
+class RequestClass:
+    """One class of request."""
+
+    name: str = "request"
+    aim: float = 1.0
+    deadline: float = 5.0
+    repeat: Repeat = Repeat.UNSAFE
+    group: Group = Group.CELL
+    window: float = 0.0
+    worth: float = 1.0
+    late_worth: float = 0.0
+    streaming: bool = False
+
+    def check(self, at: str) -> None:
+        """Raise ValueError for values that make no sense."""
+        for name in ("aim", "deadline", "window", "worth"):
+            _number(f"{at}.{name}", getattr(self, name))
+        _number(f"{at}.late_worth", self.late_worth, 0.0, 1.0)
+        if not self.aim or not self.deadline:
+            raise ValueError(f"{at}: aim and deadline must be above 0")
+
+
+@dataclass(slots=True, frozen=True)
+class Tenant:
+    """One tenant; `quota` is its share in requests a second over all balancers (0: no quota)."""
+
+    name: str = "tenant"
+    share: float = 0.0
+    quota: float = 0.0
+
+    def check(self, at: str) -> None:
+        """Raise ValueError for values that make no sense."""
+        _number(f"{at}.share", self.share, 0.0, 1.0)
+        _number(f"{at}.quota", self.quota)
+
+
+@dataclass(slots=True, frozen=True)
+class Limits:
+    """What the deployment permits."""
+
+    cancel: bool = False
+    second_copies: bool = False
+    probes: bool = False
+    retry_after: bool = False
+    max_attempts: int = 3
+    max_retry_after: float = 0.0
+    connect_timeout: float = 0.25
+    connection_idle: float = 0.0
+    streams_per_connection: int = 1
+
+    def check(self, at: str) -> None:
+        """Raise ValueError for values that make no sense."""
+        _number(f"{at}.max_attempts", self.max_attempts, 1)
+        _number(f"{at}.streams_per_connection", self.streams_per_connection, 1)
+        for name in ("max_retry_after", "connect_timeout", "connection_idle"):
+            _number(f"{at}.{name}", getattr(self, name))
+
+
+@dataclass(slots=True, frozen=True)
+class Rules:
+    """The figures behind the four rules."""
+
+    drain_grace: float = 0.0
+    answer_slack: float = 0.0
+    ask_within: float = 10.0
+    cold_from: float = 0.1
+    cold_for: float = 30.0
+    fall_multiple: float = 2.0
+    fall_after: float = 1.0
+
+    def check(self, at: str) -> None:
+        """Raise ValueError for values that make no sense."""
+        _number(f"{at}.cold_from", self.cold_from, 0.0, 1.0)
+        for item in fields(self):
+            _number(f"{at}.{item.name}", getattr(self, item.name))
+
+
+@dataclass(slots=True, frozen=True)
+class Goal:
+    """Weights of the parts of the operators' goal."""
+
+    whole: float = 1.0
+    worst_window: float = 0.0
+    worst_class: float = 0.0
+    worst_tenant: float = 0.0
+
+    def check(self, at: str) -> None:
+        """Raise ValueError for values that make no sense."""
+        for item in fields(self):
+            _number(f"{at}.{item.name}", getattr(self, item.name))
+
+
+@dataclass(slots=True, frozen=True)
+class Prices:
+    """What the operators charge, in points of the goal, for each unit of a cost."""
+
+    cross_zone: float = 0.0
+    waste: float = 0.0
+    connection: float = 0.0
+    handshake: float = 0.0
+    probe: float = 0.0
+    late_fail: float = 0.0
+
+    def check(self, at: str) -> None:
+        """Raise ValueError for values that make no sense."""
+        for item in fields(self):
+            _number(f"{at}.{item.name}", getattr(self, item.name))
+
+
+@dataclass(slots=True, frozen=True)
+class Settings:
+    """Everything that an instance is told at its start; `check()` is called by the balancer."""
+
+    classes: tuple[RequestClass, ...] = (RequestClass(),)
+    tenants: tuple[Tenant, ...] = ()
+    balancers: int = 1
+    me: int = 0
+    tier: int = 0
+    tiers: int = 1
+    zone: int = 0
+    zones: int = 1
+    discovery: Discovery = Discovery.PUSHED
+    over_share_worth: float = 1.0
+    passes_deadline: bool = True
+    report_fields: tuple[str, ...] = ()
+    limits: Limits = field(default_factory=Limits)
+    rules: Rules = field(default_factory=Rules)
+    goal: Goal = field(default_factory=Goal)
+    prices: Prices = field(default_factory=Prices)
+
+    def check(self) -> None:
+        """Raise ValueError naming the first field that makes no sense."""
+        if not self.classes:
+            raise ValueError("classes: at least one is needed")
+        for i, row in enumerate(self.classes):
+            row.check(f"classes[{i}]")
+        for i, tenant in enumerate(self.tenants):
+            tenant.check(f"tenants[{i}]")
+        for name, count in (("me", "balancers"), ("tier", "tiers"), ("zone", "zones")):
+            _number(count, getattr(self, count), 1)
+            _number(name, getattr(self, name), 0, getattr(self, count) - 1)
+        _number("over_share_worth", self.over_share_worth, 0.0, 1.0)
+        self.limits.check("limits")
+        self.rules.check("rules")
+        self.goal.check("goal")
+        self.prices.check("prices")
+
+
+def pick_known(kind: type, values: Mapping[str, Any]) -> dict[str, Any]:
+    """The entries of `values` that are fields of `kind` and not None; others are ignored."""
+    names = {item.name for item in fields(kind)}
+    return {k: v for k, v in values.items() if k in names and v is not None}
+
+
+@dataclass(slots=True, frozen=True)
+class ServerRow:
+    """One line of the list of servers. `started` is 0 for a distant past."""
+
+    server: ServerId
+    state: State = State.UP
+    zone: int = 0
+    cell: int = 0
+    size: float = 1.0
+    started: float = 0.0
+
+
+@dataclass(slots=True)
+class Send:
+    """Start an attempt; `timeout` 0 means until the client gives up."""
+
+    request: RequestId
+    server: ServerId
+    timeout: float = 0.0
+
+
+@dataclass(slots=True)
+class Refuse:
+    """Final answer: refused, trying again is harmless."""
+
+    request: RequestId
+    retry_after: float = 0.0
+
+
+@dataclass(slots=True)
+class Fail:
+    """Final answer: failed, with no promise."""
+
+    request: RequestId
+
+
+@dataclass(slots=True)
+class Cancel:
+    """Stop waiting for one attempt."""
+
+    request: RequestId
+    attempt: int
+
+
+@dataclass(slots=True)
+class Timer:
+    """Call `timer(now, token)` at `at` or soon after."""
+
+    at: float
+    token: int
+
+
+@dataclass(slots=True)
+class Subscribe:
+    """Ask discovery for changes from here on."""
+
+
+Action = Send | Refuse | Fail | Cancel | Timer | Subscribe
