Reload on SIGHUP instead of ending

Cause: no handler in __main__.py, so the default action ended the process. Checked: LB_DISCOVERY stays in the environment and would have won over the file in config.load, so a handler alone would have gone on following the old address; on a reload the file wins.

Now the file is read again; discovery moves (watch from version 0, as another service may count differently), the limits apply, what is under way goes on. A file that can't be used changes nothing and is logged.

Test: test_sighup_follows_discovery_and_keeps_serving, fails without the change.

--- a/cometusher/__main__.py
+++ b/cometusher/__main__.py
@@ -42,13 +42,24 @@
         return True
 
 
+def read_again(proxy: Proxy) -> None:
+    """Follow the file of the configuration; one that can't be used changes nothing."""
+    try:
+        fresh = config.load(os.environ, again=True)
+    except config.ConfigError as fault:
+        logging.error("the configuration stays as it was: %s", fault)
+    else:
+        proxy.reconfigure(fresh)
+
+
 async def serve(settings: config.Config) -> None:
-    """Run until SIGTERM or SIGINT, then end in order."""
+    """Run until SIGTERM or SIGINT, then end in order; SIGHUP rereads the configuration."""
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop.set)
     proxy = Proxy(settings)
+    loop.add_signal_handler(signal.SIGHUP, read_again, proxy)
     proxy.start()
     # What is alive now lives on: full collections need not walk it.
     gc.collect()
@@ -62,6 +73,8 @@
 
 def main() -> int:
     """Returns the exit code."""
+    # Guards against ending on a reload that comes before there is anything to reload.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(logging.Formatter("%(asctime)s %(levelname)s %(name)s: %(message)s"))
     handler.addFilter(RateLimit())
--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -18,8 +18,7 @@
     """
 
     def __init__(self, sockets: int) -> None:
-        self.limit = max(4, sockets - RESERVED_DESCRIPTORS)
-        self.caller_limit = max(2, int(self.limit * (1.0 - BACKEND_PART)))
+        self.resize(sockets)
         self.used = 0
         self.callers = 0
         self.peak = 0
@@ -28,6 +27,11 @@
         self.on_free: list[Callable[[], None]] = []
         self._waiting: list[Callable[[], None]] = []
 
+    def resize(self, sockets: int) -> None:
+        """Set the limit; what is in use beyond it goes as it ends."""
+        self.limit = max(4, sockets - RESERVED_DESCRIPTORS)
+        self.caller_limit = max(2, int(self.limit * (1.0 - BACKEND_PART)))
+
     def _take(self) -> None:
         self.used += 1
         self.peak = max(self.peak, self.used)
@@ -94,12 +98,16 @@
     SMALL = 64 * 1024
 
     def __init__(self, memory_mb: int) -> None:
-        self.limit = max(1, min(memory_mb // 4, memory_mb - 144)) * 1024 * 1024
+        self.resize(memory_mb)
         self.used = 0
         self.peak = 0
         self._uploaders: dict[Uploader, None] = {}  # in order of arrival
         self._paused = False
 
+    def resize(self, memory_mb: int) -> None:
+        """Set the limit."""
+        self.limit = max(1, min(memory_mb // 4, memory_mb - 144)) * 1024 * 1024
+
     def join(self, uploader: Uploader) -> None:
         """A large body is being read."""
         if uploader not in self._uploaders:
--- a/cometusher/config.py
+++ b/cometusher/config.py
@@ -82,8 +82,11 @@
     return settings
 
 
-def load(environ: Mapping[str, str]) -> Config:
-    """Read the configuration; raises ConfigError."""
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """Read the configuration; raises ConfigError.
+
+    Read again, the file says where discovery is now: the environment is that of the start and can't change.
+    """
     path = environ.get("LB_CONFIG")
     if not path:
         raise ConfigError("LB_CONFIG: not set")
@@ -101,10 +104,11 @@
     known = _object(values, "known")
     if not isinstance(known.get("hosts", []), list) or not isinstance(known.get("seq", 0), int):
         raise ConfigError("known: not a list of hosts with a seq")
+    where = (environ.get("LB_DISCOVERY"), values.get("discovery"))
     return Config(
         name=str(environ.get("LB_NAME") or values.get("name") or "proxy"),
         listen=read_address(environ.get("LB_LISTEN") or values.get("listen"), "listen"),
-        discovery=read_address(environ.get("LB_DISCOVERY") or values.get("discovery"), "discovery"),
+        discovery=read_address(next(filter(None, where[::-1] if again else where), None), "discovery"),
         seed=_seed(values.get("seed", "")),
         memory_mb=_positive(limits, "memory_mb", 192),
         sockets=_positive(limits, "sockets", 1024),
--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -160,6 +160,25 @@
         if not self._pushed and (self._task is None or self._task.done()):
             self._task = asyncio.get_running_loop().create_task(self._once())
 
+    def move(self, address: Address) -> None:
+        """Discovery is somewhere else now: watch there.
+
+        Guards against following one that has been taken out of service, and against patches to a list that
+        is not ours: the versions of another service may count differently, so the whole list is asked for.
+        """
+        if address == self._address:
+            return
+        self._address = address
+        self._seq = 0
+        if self._task is None or self._task.done():
+            return
+        self._task.cancel()
+        self._task = None
+        if self._pushed:
+            self.start()
+        else:
+            self._changed(ListKind.BROKEN, ())  # the module decides when to ask again
+
     async def stop(self) -> None:
         """End the watch."""
         if self._task is not None:
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -10,6 +10,7 @@
 import logging
 import time
 from collections.abc import Callable, Sequence
+from dataclasses import replace
 from random import Random
 
 from cometusher.backends import Attempt, Backends
@@ -132,6 +133,19 @@
         self.discovery.start()
         self.loop.call_later(SWEEP, self._sweep)
 
+    def reconfigure(self, fresh: Config) -> None:
+        """Take over from a new configuration what can change while requests are under way."""
+        old = self.config
+        self.config = replace(
+            old, discovery=fresh.discovery, sockets=fresh.sockets, memory_mb=fresh.memory_mb
+        )
+        self.descriptors.resize(fresh.sockets)
+        self.memory.resize(fresh.memory_mb)
+        self.discovery.move(fresh.discovery)
+        log.info("the configuration was read again; discovery is at %s:%d", *fresh.discovery)
+        if (fresh.listen, fresh.settings, fresh.zones) != (old.listen, old.settings, old.zones):
+            log.warning("a change of listen or settings waits for the next start")
+
     async def drain(self) -> None:
         """End in order: everything that was taken is answered."""
         await self.callers.drain()
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -14,7 +14,7 @@
 
 import orjson
 import pytest
-from rig import PATIENCE, SETTINGS, Backend, Caller, Script, Seen, Writer, reply, request, serve_ok
+from rig import PATIENCE, SETTINGS, Backend, Caller, Discovery, Script, Seen, Writer, reply, request, serve_ok
 from test_proxy import run
 
 ROOT = Path(__file__).parent.parent
@@ -34,19 +34,22 @@
 
 
 @contextlib.asynccontextmanager
-async def proxy(tmp_path: Path, script: Script) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Backend]]:
+async def proxy(
+    tmp_path: Path, script: Script, discovery_port: int = 0
+) -> AsyncIterator[tuple[asyncio.subprocess.Process, int, Backend]]:
     """A proxy process before one backend, ready."""
     backend = Backend(1, script)
     await backend.start()
     port = free_port()
+    discovery = f"127.0.0.1:{discovery_port or free_port()}"
     config = {
-        "name": "t", "listen": f"127.0.0.1:{port}", "discovery": f"127.0.0.1:{free_port()}", "seed": "ab",
+        "name": "t", "listen": f"127.0.0.1:{port}", "discovery": discovery, "seed": "ab",
         "limits": {"memory_mb": 192, "sockets": 128}, "extra": 1,
         "known": {"seq": 1, "whole": True, "hosts": [backend.entry()]}, "settings": SETTINGS,
     }
     path = tmp_path / "config.json"
     path.write_bytes(orjson.dumps(config))
-    process = await launch({"LB_CONFIG": str(path)})
+    process = await launch({"LB_CONFIG": str(path), "LB_DISCOVERY": discovery})
     try:
         async with asyncio.timeout(PATIENCE):
             while True:
@@ -108,6 +111,51 @@
     run(test)
 
 
+def test_sighup_follows_discovery_and_keeps_serving(tmp_path: Path) -> None:
+    """A reload moves the watch to where the file says, also against the environment, and drops nobody.
+
+    A file that can't be used changes nothing.
+    """
+
+    async def test() -> None:
+        old, new = Discovery(), Discovery()
+        await old.start()
+        await new.start()
+        go = asyncio.Event()
+
+        async def wait(backend: Backend, seen: Seen, writer: Writer) -> None:
+            await go.wait()
+            writer.write(reply(body=b"whole"))
+
+        async with proxy(tmp_path, wait, old.port) as (process, port, backend):
+            await old.watch()
+            caller = await connect(port)
+            caller.writer.write(request())
+            await asyncio.wait_for(backend.arrived.wait(), PATIENCE)
+            path = tmp_path / "config.json"
+            config = orjson.loads(path.read_bytes())
+            path.write_bytes(b"{")
+            process.send_signal(signal.SIGHUP)
+            assert process.stderr is not None
+            async with asyncio.timeout(PATIENCE):
+                while b"the configuration stays" not in (line := await process.stderr.readline()):
+                    assert line, "the proxy ended"
+            path.write_bytes(orjson.dumps(config | {"discovery": f"127.0.0.1:{new.port}"}))
+            process.send_signal(signal.SIGHUP)
+            watch = await new.watch()
+            watch.tell(1, backend.entry(health="terminating"), whole=True)
+            go.set()
+            assert (await caller.answer())[1].body == b"whole"  # begun before the reload, on the same connection
+            async with asyncio.timeout(PATIENCE):
+                while (await caller.call(kind="once", rid="2"))[0] != 503:
+                    await asyncio.sleep(0.01)  # until the new list is in force, there is still one backend
+            assert process.returncode is None
+        await old.stop()
+        await new.stop()
+
+    run(test)
+
+
 GOOD: dict[str, Any] = {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": SETTINGS}
 
 
