Believe neither callers nor backends: strict framing, one answer a request, limits that hold

Now what follows an answer closes the connection, and an idle connection with anything to read is not used. - 1xx answers started the 0.5 s clock for stalled answers. - 8979 of 9059 requests turned away were the same again on the same connection.

Ruled out: CPU (0.14 s in the worst second), memory (18 of 80 MB).

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import select
 from collections import deque
 from typing import Protocol, cast
 
@@ -19,34 +20,27 @@
 
 log = logging.getLogger(__name__)
 
-WHOLE_UP_TO = 64 * 1024  # longer answers are passed on as they come
-SLICE = 128 * 1024  # of a request body, written at once
 IDLE_PART = 0.8  # of the time after which backends may close; a write that crosses that close is lost
 AT_ONCE = 0.05  # seconds in which a reset says that the connection was dead before it was written to
 CROSSINGS, CROSSINGS_FOR = 3, 20.0  # so many such resets in so many seconds make idle connections suspect
 IDLE_AT_LEAST = 0.1  # seconds; a reset of a younger connection, or of a new one, has another cause
-ANSWER_STALL = 0.5  # seconds without a byte after which an answer that had begun to come has broken...
-STREAM_STALL = 5.0  # ...and one that is passed on already: nothing can be tried again, so patience is free
+ANSWER_STALL = 0.3  # seconds without a byte after which an answer that had begun to come has broken...
+ANSWER_TIME = 1.0  # ...and seconds from its first byte to its last
+LATE = 0.2  # seconds by which a sweep may be late and still tell silence from not having listened
 
 
 class AttemptSink(Protocol):
     """Who is told of attempts."""
 
     def attempt_ended(self, attempt: Attempt, how: Outcome, response: Response | None, why: str) -> None:
-        """The one end of an attempt; with OK comes the answer, its body whole unless it was passed on."""
-
-    def attempt_streams(self, attempt: Attempt, response: Response) -> None:
-        """A long answer begins; from here on it is passed on as it comes."""
-
-    def attempt_data(self, attempt: Attempt, data: bytes) -> None:
-        """More of an answer that is passed on."""
+        """The one end of an attempt; with OK comes the answer."""
 
 
 class Attempt:
     """One sending of one request to one backend."""
 
     __slots__ = (
-        "body", "connection", "ended", "head", "number", "owner", "repeatable", "sent", "server", "streaming", "task",
+        "body", "connection", "ended", "head", "number", "owner", "repeatable", "sent", "server", "task",
     )
 
     def __init__(self, owner: object, number: int, server: ServerId, sent: float, repeatable: bool) -> None:
@@ -60,7 +54,6 @@
         self.connection: BackendConnection | None = None
         self.task: asyncio.Task[None] | None = None  # connecting
         self.ended = False
-        self.streaming = False
 
 
 class Backend:
@@ -87,16 +80,12 @@
         self.made = False
         self.uses = 0
         self.attempt: Attempt | None = None
-        self.response: Response | None = None
         self.idle_since = 0.0
         self.started = 0.0
         self.heard = 0.0
-        self.held_back = False  # reading is paused: the caller is slower
-        self._parser = ResponseParser(self)
-        self._body: memoryview | None = None  # what is not yet handed to the transport
-        self._writable = True
-        self._size = 0  # of the answer's body, so far
-        self._got = 0  # bytes of the answer, head and all
+        self._parser = ResponseParser()
+        self._begun = 0.0  # when the first byte of the answer came; 0 while there is none
+        self._descriptor = -1
 
     # ---- the transport's calls -----------------------------------------------------------
 
@@ -104,23 +93,35 @@
         transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
         self.transport = transport
         self.made = True
-        transport.set_write_buffer_limits(high=SLICE, low=0)
+        self._descriptor = transport.get_extra_info("socket").fileno()
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:
-            self.close()  # nobody asked for this
+            log.info("a backend sent %d bytes that nobody asked for; closing", len(data))
+            self.close()
             return
         self.heard = self._pool.loop.time()
-        self._got += len(data)
         try:
-            self._parser.feed(data)
+            response = self._parser.feed(data)
         except Malformed as fault:
-            self._lost(f"unreadable answer: {fault}")
-            self.close()
+            self._spoilt(f"unreadable answer: {fault}")
+        except Exception:
+            log.exception("reading an answer failed")
+            self._spoilt("unreadable answer")
+        else:
+            if response is not None:
+                self._answered(self.attempt, response)
+            elif self._parser.response is None:
+                self._begun = 0.0  # 1xx answers don't count: the backend is still at work
+            elif not self._begun:
+                self._begun = self.heard
 
     def eof_received(self) -> None:
         if self.attempt is not None:
-            self._parser.finish()
+            response = self._parser.finish()
+            if response is not None:
+                self._answered(self.attempt, response)
+                return
         self._lost("the backend ended the connection")
 
     def connection_lost(self, exc: Exception | None) -> None:
@@ -128,13 +129,6 @@
         self._lost(f"connection lost: {exc}" if exc else "connection closed")
         self._pool.closed(self)
 
-    def pause_writing(self) -> None:
-        self._writable = False
-
-    def resume_writing(self) -> None:
-        self._writable = True
-        self._pump()
-
     # ---- the request ---------------------------------------------------------------------
 
     def start(self, attempt: Attempt) -> None:
@@ -144,128 +138,81 @@
         attempt.connection = self
         self.uses += 1
         self.started = self.heard = self._pool.loop.time()
-        self._size = self._got = 0
-        if len(attempt.body) <= SLICE:
-            self.transport.write(attempt.head + attempt.body)
-        else:
-            self._body = memoryview(attempt.body)
-            self.transport.write(attempt.head)
-            self._pump()
-
-    def _pump(self) -> None:
-        # The rest is held here, not in the transport: while any of it is, the request's last byte has
-        # certainly not left, and a connection that breaks has certainly run nothing.
-        while self._body is not None and self._writable and self.transport is not None:
-            rest = self._body[SLICE:]
-            self.transport.write(self._body[:SLICE])
-            if self.transport.is_closing():
-                return  # the write met a broken connection, and all that follows would go nowhere
-            self._body = rest if len(rest) else None
+        self._begun = 0.0
+        self.transport.write(attempt.head + attempt.body)
 
-    # ---- the answer ----------------------------------------------------------------------
+    def clean(self) -> bool:
+        """Whether an idle connection is still fit for a request.
 
-    def on_response_head(self, response: Response) -> None:
-        self.response = response
-        attempt = self.attempt
-        if (
-            attempt is not None and response.status == 200
-            and response.length is not None and response.length > WHOLE_UP_TO
-        ):
-            self._stream(attempt, response)
-
-    def _stream(self, attempt: Attempt, response: Response) -> None:
-        attempt.streaming = True
-        self._pool.sink.attempt_streams(attempt, response)
-
-    def on_response_data(self, data: bytes) -> None:
-        attempt, response = self.attempt, self.response
-        if attempt is None or response is None:
-            return
-        self._size += len(data)
-        if attempt.streaming:
-            self._pool.sink.attempt_data(attempt, data)
-            return
-        if response.status == 200:
-            response.body.append(data)
-        if self._size <= WHOLE_UP_TO:
-            return
-        if response.status != 200:
-            self._lost("an error with a long body")
-            self.close()
-        else:
-            self._stream(attempt, response)
-            begun, response.body = b"".join(response.body), []
-            self._pool.sink.attempt_data(attempt, begun)
+        Guards against reading what has come since the last answer (a second copy of it, noise) as the answer
+        to the next request, and against writing into a connection that the backend has ended: the event loop
+        may not have told of either yet. Either shows as something to read.
+        """
+        if self.transport is None or self.transport.is_closing():
+            return False
+        poller = select.poll()
+        poller.register(self._descriptor, select.POLLIN)
+        return not poller.poll(0)
 
-    def on_response_end(self) -> None:
-        attempt, response = self.attempt, self.response
-        if attempt is None or response is None:
-            return
-        whole = self._body is None
+    # ---- the answer ----------------------------------------------------------------------
+
+    def _answered(self, attempt: Attempt, response: Response) -> None:
         self._release()
-        if response.keep_alive and not response.until_eof and whole and not self.held_back:
+        if self._parser.surplus:
+            log.info("more came than belongs to an answer; closing")
+        if response.keep_alive and not response.until_eof and not self._parser.surplus:
             self._pool.park(self)
         else:
             self.close()
         how, why = classify(response)
         self._pool.end(attempt, how, response, why)
 
-    def hold_back(self, held: bool) -> None:
-        """Pause or resume reading: backpressure from the caller."""
-        if self.transport is not None and held is not self.held_back:
-            self.held_back = held
-            self.heard = self._pool.loop.time()
-            (self.transport.pause_reading if held else self.transport.resume_reading)()
-
     # ---- ends ----------------------------------------------------------------------------
 
     def _release(self) -> None:
         if self.attempt is not None:
             self.attempt.connection = None
         self.attempt = None
-        self.response = None
-        self._body = None
+
+    def _spoilt(self, why: str) -> None:
+        """No answer can come of this any more; what else is on the connection is of no use."""
+        self._lost(why)
+        self.close()
 
     def _lost(self, why: str) -> None:
-        """The connection is of no more use; ends the attempt by what is known to have left."""
+        """The connection is of no more use; ends the attempt on it, which may have run."""
         self._pool.unpark(self)
-        attempt, response = self.attempt, self.response
+        attempt = self.attempt
         if attempt is None:
             return
-        unsent = self._body is not None
-        if not self._got and self._pool.loop.time() - self.started < AT_ONCE:
+        if self.heard == self.started and self._pool.loop.time() - self.started < AT_ONCE:
             self._pool.reset_at_once(self.started - self.idle_since if self.uses > 1 else 0.0)
+        response = self._parser.response
         self._release()
-        if response is not None and response.status != 200:
-            how, why = classify(response)
-            self._pool.end(attempt, how, None, why)
-        elif unsent:
-            self._pool.end(attempt, Outcome.UNREACHABLE, None, f"{why} before the request's last byte was written")
+        if response is not None and self._parser.head_done and response.status != 200:
+            self._pool.end(attempt, *cut_short(response))
         else:
             self._pool.end(attempt, Outcome.BROKEN, None, why)
 
     def check(self, now: float) -> None:
-        """End an answer that began to come and stopped.
+        """End an answer that began to come and stopped, or that comes in drops.
 
         Guards against waiting until the deadline for the rest of an answer that never comes, when there
-        is still time to try again: a backend at work on an answer is never silent for so long.
+        is still time to try again: a backend at work on an answer is never silent for so long. Harm: a
+        network that holds back a part of an answer for longer looks like a broken one.
         """
-        attempt = self.attempt
-        if attempt is None or not self._got or self.held_back:
+        if self.attempt is None or not self._begun:
             return
-        silent = now - self.heard
-        if silent > (STREAM_STALL if attempt.streaming else ANSWER_STALL):
-            self._lost(f"the answer stopped coming: {self.progress()}")
-            self.close()
+        if now - self.heard > ANSWER_STALL or now - self._begun > ANSWER_TIME:
+            self._spoilt(f"the answer stopped coming: {self.progress()}")
 
     def progress(self) -> str:
         """How far the attempt has come, for the log."""
-        if self._body is not None:
-            return f"{len(self._body)} bytes of the request unwritten"
         used = "a used" if self.uses > 1 else "a new"
-        if self.response is None:
-            return f"{self._got} bytes of an answer's head on {used} connection"
-        return f"{self._size} of {self.response.length} bytes of an answer on {used} connection"
+        response = self._parser.response
+        if response is None or not self._parser.head_done:
+            return f"no whole head of an answer on {used} connection"
+        return f"{len(response.body)} of {response.length} bytes of an answer on {used} connection"
 
     def close(self) -> None:
         """Close at once; the attempt on it, if any, has been dealt with."""
@@ -274,12 +221,20 @@
             self.transport.abort()
 
 
+def cut_short(response: Response) -> tuple[Outcome, None, str]:
+    """The outcome of an answer other than 200 of which only the head is whole."""
+    how, why = classify(response)
+    return how, None, why
+
+
 def classify(response: Response) -> tuple[Outcome, str]:
     """The outcome that a whole answer stands for."""
     if response.status == 200:
         return Outcome.OK, ""
     if response.status in (503, 504) and (b"x-rejected", b"1") in response.headers:
         return Outcome.FULL, f"turned away with {response.status}"
+    if 400 <= response.status < 500:
+        return Outcome.REJECTED, f"status {response.status}"
     return Outcome.ERROR, f"status {response.status}"
 
 
@@ -303,6 +258,7 @@
         self._idle: dict[BackendConnection, None] = {}  # oldest first, over all backends
         self._busy: dict[BackendConnection, None] = {}
         self._crossings: deque[tuple[float, float]] = deque(maxlen=CROSSINGS)  # when, and how long idle
+        self._swept = 0.0  # when the last sweep was
         descriptors.evict_backend = self._evict
 
     # ---- the list ------------------------------------------------------------------------
@@ -348,7 +304,7 @@
         while backend.idle:
             connection = backend.idle[-1]
             age = now - connection.idle_since
-            if age >= self._idle_for or connection.transport is None or connection.transport.is_closing():
+            if age >= self._idle_for or not connection.clean():
                 self._discard(connection)
                 continue
             if not attempt.repeatable and age >= self._trusted(now):
@@ -466,11 +422,14 @@
     def sweep(self) -> None:
         """Close what has been idle for long, and end answers that stopped coming."""
         now = self.loop.time()
+        late, self._swept = now - self._swept > LATE, now
         while self._idle:
             connection = next(iter(self._idle))
             if connection.idle_since > now - self._idle_for:
                 break
             self._discard(connection)
+        if late:
+            return  # the process was held up: answers may have come that have not been read
         for connection in list(self._busy):
             connection.check(now)
 
--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Protocol
 
 RESERVED_DESCRIPTORS = 24  # standard streams, event loop, listener, discovery, and some to spare
+IDLE_MB = 28  # that the process takes by itself, with some to spare
 BACKEND_PART = 0.25  # of the descriptors that callers can't take
 
 
@@ -23,7 +23,7 @@
         self.callers = 0
         self.peak = 0
         self.evict_backend: Callable[[], bool] = lambda: False
-        self.evict_caller: Callable[[], bool] = lambda: False
+        self.evict_caller: Callable[[], object] = lambda: None
         self.on_free: list[Callable[[], None]] = []
         self._waiting: list[Callable[[], None]] = []
 
@@ -76,66 +76,31 @@
             callback()
 
 
-class Uploader(Protocol):
-    """A connection whose request body is being read."""
-
-    def pause_upload(self) -> None:
-        """Stop reading."""
-
-    def resume_upload(self) -> None:
-        """Read on."""
-
-
 class BodyMemory:
-    """Bytes held in large request bodies.
+    """Bytes that request bodies may take, all callers together.
 
-    Guards against running out of memory (reading stops while the budget is used up) and against a
-    deadlock of half-read bodies that wait for each other: the first in line always reads on, for which
-    the room of one whole body is kept free. Bodies up to `SMALL` are never held up: they are taken when
-    the kernel has their last byte, and would be late.
+    Guards against running out of memory by many bodies at once. A body's whole announced length is set
+    aside when its head has come, so that no body that was let in waits for another. What can't be set aside
+    is turned away; in harm's way are callers with large bodies while others hold all the room.
     """
 
-    SMALL = 64 * 1024
-
     def __init__(self, memory_mb: int) -> None:
         self.resize(memory_mb)
         self.used = 0
         self.peak = 0
-        self._uploaders: dict[Uploader, None] = {}  # in order of arrival
-        self._paused = False
 
     def resize(self, memory_mb: int) -> None:
-        """Set the limit."""
-        self.limit = max(1, min(memory_mb // 4, memory_mb - 144)) * 1024 * 1024
-
-    def join(self, uploader: Uploader) -> None:
-        """A large body is being read."""
-        if uploader not in self._uploaders:
-            self._uploaders[uploader] = None
-            if self._paused and len(self._uploaders) > 1:
-                uploader.pause_upload()
-
-    def leave(self, uploader: Uploader) -> None:
-        """It is read, or given up."""
-        if uploader in self._uploaders:
-            del self._uploaders[uploader]
-            self._settle()
-
-    def add(self, count: int) -> None:
-        """Bytes were read (or, below 0, let go)."""
+        """Set the limit: a third of what the idle process leaves, as a body is copied once to be sent on."""
+        self.limit = max(2, (memory_mb - IDLE_MB) // 3) * 1024 * 1024
+
+    def take(self, count: int) -> bool:
+        """Set bytes aside, if there is room."""
+        if self.used + count > self.limit:
+            return False
         self.used += count
         self.peak = max(self.peak, self.used)
-        self._settle()
-
-    def _settle(self) -> None:
-        if self._paused:
-            if self.used < 0.8 * self.limit:
-                self._paused = False
-                for uploader in list(self._uploaders):
-                    uploader.resume_upload()
-            elif self._uploaders:
-                next(iter(self._uploaders)).resume_upload()
-        elif self.used >= self.limit:
-            self._paused = True
-            for uploader in list(self._uploaders)[1:]:
-                uploader.pause_upload()
+        return True
+
+    def give(self, count: int) -> None:
+        """Give them back."""
+        self.used -= count
--- a/cometusher/http1.py
+++ b/cometusher/http1.py
@@ -13,8 +13,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
-MAX_HEAD = 64 * 1024  # bytes of a head, of trailers, and of what frames a body
-MAX_BODY = 32 * 1024 * 1024
+MAX_HEAD = 16 * 1024  # bytes of a head, of trailers, and of what frames a body
+MAX_BODY = 64 * 1024  # either way: what the protocol allows
+MAX_INTERIM = 8  # 1xx answers ahead of one
 
 #: Headers that speak of one connection, or of a framing that is written anew.
 HOP_BY_HOP = frozenset(
@@ -37,6 +38,8 @@
     200: b"OK",
     400: b"Bad Request",
     405: b"Method Not Allowed",
+    408: b"Request Timeout",
+    409: b"Conflict",
     413: b"Content Too Large",
     417: b"Expectation Failed",
     431: b"Request Header Fields Too Large",
@@ -46,7 +49,6 @@
 }
 
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
-LAST_CHUNK = b"0\r\n\r\n"
 
 _BUDGET = re.compile(rb"(\d{1,15}(?:\.\d{1,9})?)([mu])", re.ASCII)
 _MAX_BUDGET = 3600.0
@@ -100,11 +102,6 @@
     return b"\r\n".join(lines)
 
 
-def chunk(data: bytes) -> bytes:
-    """One chunk of a chunked body."""
-    return b"%x\r\n%s\r\n" % (len(data), data)
-
-
 class Request:
     """A caller's request as it came; header names are in lower case."""
 
@@ -116,17 +113,17 @@
         self.headers: Headers = []
         self.length: int | None = None  # announced; None where chunked
         self.body = bytearray()
-        self.charged = 0  # bytes of the body that its memory budget counts
+        self.charged = 0  # bytes that the memory budget counts for the body
         self.keep_alive = True
         self.http10 = False
         self.arrived = 0.0
 
     def header(self, name: bytes) -> bytes | None:
-        """The first header of this name."""
-        for key, value in self.headers:
-            if key == name:
-                return value
-        return None
+        """The header of this name; one that is repeated is malformed, for another reader may take another."""
+        values = [value for key, value in self.headers if key == name]
+        if len(values) > 1:
+            raise Malformed(400, f"repeated {name.decode()}")
+        return values[0] if values else None
 
 
 class Response:
@@ -140,7 +137,7 @@
         self.length: int | None = None  # announced; None where chunked or ended by the connection
         self.until_eof = False
         self.keep_alive = True
-        self.body: list[bytes] = []
+        self.body = bytearray()
 
 
 class _Parser:
@@ -149,15 +146,15 @@
     def __init__(self) -> None:
         self._overhead = 0  # bytes since the message began that were not body
         self._headers: Headers = []
-        self._head_done = False
+        self.head_done = False
 
     def _begin(self) -> None:
         self._headers = []
         self._overhead = 0
-        self._head_done = False
+        self.head_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        if self._head_done:
+        if self.head_done:
             return  # a trailer; nothing here needs one
         self._overhead += len(name) + len(value) + 32
         if self._overhead > MAX_HEAD:
@@ -165,17 +162,26 @@
         self._headers.append((name.lower(), value.strip()))
 
     def _framing(self) -> tuple[int | None, bool]:
-        """Announced length and whether the body is chunked."""
-        length: int | None = None
-        chunked = False
-        for name, value in self._headers:
-            if name == b"content-length":
-                if not value.isdigit() or len(value) > 18:
-                    raise Malformed(400, "bad Content-Length")
-                length = int(value)
-            elif name == b"transfer-encoding":
-                chunked = True
-        return (None if chunked else length), chunked
+        """Announced length and whether the body is chunked.
+
+        Guards against messages whose end two readers would see in different places, for what one of them
+        takes as body the other takes as the next message. Stricter than the parser, whatever it lets pass:
+        framing is given once, in one way, in its plain form. Harm: a peer that repeats an equal
+        Content-Length is turned away.
+        """
+        lengths = [value for name, value in self._headers if name == b"content-length"]
+        codings = [value for name, value in self._headers if name == b"transfer-encoding"]
+        if len(lengths) + len(codings) > 1:
+            raise Malformed(400, "ambiguous framing")
+        if codings and codings[0].lower() != b"chunked":
+            raise Malformed(400, "unknown Transfer-Encoding")
+        if not lengths:
+            return None, bool(codings)
+        if not lengths[0].isdigit() or len(lengths[0]) > 18:
+            raise Malformed(400, "bad Content-Length")
+        if int(lengths[0]) > MAX_BODY:
+            raise Malformed(413, "body too large")
+        return int(lengths[0]), False
 
     def _feed(self, parser: httptools.HttpRequestParser | httptools.HttpResponseParser, data: bytes) -> bytes:
         """Parse; returns what came after an offer of another protocol, which is declined."""
@@ -223,7 +229,7 @@
                 # Guards against heads, trailers and chunk framing without end, which the parser would keep.
                 self._overhead -= max(0, len(current.body) - before)
                 if self._overhead > MAX_HEAD + 16 * len(current.body):
-                    raise Malformed(400 if self._head_done else 431, "head too large")
+                    raise Malformed(400 if self.head_done else 431, "head too large")
             data = rest
             if rest:
                 self._parser = httptools.HttpRequestParser(self)
@@ -241,7 +247,7 @@
     def on_headers_complete(self) -> None:
         request = self.current
         assert request is not None
-        self._head_done = True
+        self.head_done = True
         request.method = self._parser.get_method()
         request.headers = self._headers
         request.length, chunked = self._framing()
@@ -249,8 +255,6 @@
             request.length = 0
         request.keep_alive = self._parser.should_keep_alive()
         request.http10 = self._parser.get_http_version() == "1.0"
-        if (request.length or 0) > MAX_BODY:
-            raise Malformed(413, "body too large")
         self._sink.on_request_head(request)
 
     def on_body(self, data: bytes) -> None:
@@ -266,77 +270,87 @@
         self._sink.on_request(request)
 
 
-class ResponseSink(Protocol):
-    """Who is told of an answer."""
-
-    def on_response_head(self, response: Response) -> None:
-        """The head is whole."""
-
-    def on_response_data(self, data: bytes) -> None:
-        """More of the body."""
-
-    def on_response_end(self) -> None:
-        """The last byte has come."""
-
-
 class ResponseParser(_Parser):
-    """Answers out of the bytes of one connection; `feed` raises Malformed."""
+    """Answers out of the bytes of one connection, one for each request; `feed` raises Malformed.
 
-    def __init__(self, sink: ResponseSink) -> None:
+    Guards against all that a backend may send beside the one answer: what can't be read, or is longer than
+    an answer may be, is Malformed; what follows a whole answer is not read, but noted in `surplus`, for it
+    must never become the answer to the next request. Ought to hold for whatever else a peer adds. Harm: a
+    backend with answers above MAX_BODY can't be used.
+    """
+
+    def __init__(self) -> None:
         super().__init__()
-        self._sink = sink
         self._parser = httptools.HttpResponseParser(self)
-        self.response: Response | None = None
-        self._interim = False
-        self._body = 0
-
-    def feed(self, data: bytes) -> None:
-        """Read on; calls the sink."""
-        before = self._body
+        self._answer: Response | None = None  # whole, and not yet handed out
+        self._interims = 0
+        self.response: Response | None = None  # the one being read
+        self.surplus = False  # more came than belongs to the answer
+
+    def feed(self, data: bytes) -> Response | None:
+        """Read on; returns the answer once it is whole."""
+        body = len(self.response.body) if self.response else 0
         self._overhead += len(data)
-        if self._feed(self._parser, data):
-            raise Malformed(502, "unasked upgrade")
-        self._overhead -= max(0, self._body - before)
-        if self._overhead > MAX_HEAD + 16 * self._body:
-            raise Malformed(502, "head too large")
-
-    def finish(self) -> None:
+        try:
+            if self._feed(self._parser, data):
+                raise Malformed(502, "unasked upgrade")
+            if self.response is not None:
+                self._overhead -= max(0, len(self.response.body) - body)
+                if self._overhead > MAX_HEAD + 16 * len(self.response.body):
+                    raise Malformed(502, "head too large")
+        except Malformed:
+            if self._answer is None:
+                raise
+            self.surplus = True
+        return self._hand_out()
+
+    def finish(self) -> Response | None:
         """The peer has ended its side: completes an answer that its end delimits."""
-        response = self.response
-        if response is not None and self._head_done and response.until_eof:
-            self._end()
+        if self.response is not None and self.head_done and self.response.until_eof:
+            self._answer = self.response
+        return self._hand_out()
+
+    def _hand_out(self) -> Response | None:
+        answer, self._answer = self._answer, None
+        if answer is not None:
+            self._interims = 0
+            self.response = None
+        return answer
 
     def on_message_begin(self) -> None:
+        if self._answer is not None:
+            raise Malformed(502, "a second answer")
         self._begin()
-        self._body = 0
         self.response = Response()
 
     def on_headers_complete(self) -> None:
         response = self.response
         assert response is not None
-        status = self._parser.get_status_code()
-        self._interim = 100 <= status < 200
-        if self._interim:
-            if status == 101:
-                raise Malformed(502, "unasked upgrade")
+        response.status = self._parser.get_status_code()
+        if response.status == 101:
+            raise Malformed(502, "unasked upgrade")
+        if response.status < 200:
             return
-        self._head_done = True
-        response.status = status
+        self.head_done = True
         response.headers = self._headers
         response.keep_alive = self._parser.should_keep_alive()
         response.length, chunked = self._framing()
-        response.until_eof = response.length is None and not chunked and status not in (204, 304)
-        self._sink.on_response_head(response)
+        response.until_eof = response.length is None and not chunked and response.status not in (204, 304)
 
     def on_body(self, data: bytes) -> None:
-        self._body += len(data)
-        self._sink.on_response_data(data)
+        assert self.response is not None
+        self.response.body += data
+        if len(self.response.body) > MAX_BODY:
+            raise Malformed(502, "body too large")
 
     def on_message_complete(self) -> None:
-        if not self._interim:
-            self._end()
-
-    def _end(self) -> None:
+        response = self.response
+        assert response is not None
+        if response.status >= 200:
+            self._answer = response
+            self._overhead = 0
+            return
         self.response = None
-        self._head_done = False
-        self._sink.on_response_end()
+        self._interims += 1
+        if self._interims > MAX_INTERIM:
+            raise Malformed(502, "interim answers without end")
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -350,6 +350,10 @@
             request.young = False
             self.waiting -= 1
 
+    def withdraw(self, request: Request) -> None:
+        """Leave a request out of the count: its end says nothing of load."""
+        self._settle(request)
+
     def late(self, now: float, request: Request) -> None:
         """Count a request whose aim has passed without an answer."""
         if self._settle(request):
@@ -429,12 +433,13 @@
 class Attempt:
     """One send of a request."""
 
-    __slots__ = ("maybe_ran", "open", "sent", "server")
+    __slots__ = ("how", "maybe_ran", "open", "sent", "server")
 
     def __init__(self, server: Server, sent: float) -> None:
         self.server = server
         self.sent = sent
         self.open = True
+        self.how: Outcome | None = None
         self.maybe_ran = True  # until its outcome proves otherwise
 
 
@@ -689,6 +694,10 @@
         server = self._pick(now, request, among, first)
         if server is None:
             return False
+        self._launch(now, request, server, out)
+        return True
+
+    def _launch(self, now: float, request: Request, server: Server, out: list[Action]) -> None:
         if server.breaker is None:
             server.breaker = Breaker()
         if server.cold_credit > 0.0:
@@ -698,6 +707,26 @@
         request.attempts.append(attempt)
         request.open += 1
         out.append(Send(request.id, server.row.server))
+
+    def _resend(self, now: float, request: Request, among: list[Server] | None, out: list[Action]) -> bool:
+        """Send once more to a server that had the request, where there is no other.
+
+        Guards against giving up where a group is small: an answer that was spoilt or lost on its way says
+        little of the server, and it is in its own group, so that it knows the key. Once only, and neither
+        after a time-out nor where that server's breaker refuses: there it would be more of what hurts it.
+        """
+        last = request.attempts[-1]
+        server = last.server
+        if last.how is not Outcome.BROKEN or server.row.state is not State.UP:
+            return False
+        if among is not None and server not in among:
+            return False
+        if sum(a.server is server for a in request.attempts) > 1 or server.cold_until(self.settings.rules) > now:
+            return False
+        timeout = self.settings.classes[request.kind].aim
+        if server.breaker is not None and server.breaker.refuses(now, timeout, self.rng):
+            return False
+        self._launch(now, request, server, out)
         return True
 
     def _pick(
@@ -772,7 +801,8 @@
             return False
         if request.open and (request.open > 1 or not limits.second_copies):
             return False
-        if not self._send(now, request, self._among(now, request), False, out):
+        among = self._among(now, request)
+        if not self._send(now, request, among, False, out) and not self._resend(now, request, among, out):
             return False
         self.retry_tokens -= 1.0
         return True
@@ -810,6 +840,7 @@
         if not attempt.open:
             return []
         attempt.open = False
+        attempt.how = how
         attempt.maybe_ran = how not in NEVER_RAN
         request.open -= 1
         if how is not Outcome.OK or not request.bound:
@@ -822,8 +853,14 @@
             if self.entry is not None and not request.bound:
                 self.entry.ended(now, request, how is Outcome.OK)
             self._finish(request, out)
-        elif not request.open and not self._again(now, request, out):
-            self._answer(now, request, out)
+        elif not request.open:
+            if how is Outcome.REJECTED:
+                # Guards what is learned of the tier against callers whose requests nobody can serve.
+                if self.entry is not None:
+                    self.entry.withdraw(request)
+                self._answer(now, request, out)
+            elif not self._again(now, request, out):
+                self._answer(now, request, out)
         return out
 
     def _learn(
@@ -832,7 +869,7 @@
         server = attempt.server
         server.out.pop(attempt, None)
         breaker = server.breaker
-        if breaker is None or how is Outcome.VOID or attempt.sent < server.row.started:
+        if breaker is None or how in (Outcome.VOID, Outcome.REJECTED) or attempt.sent < server.row.started:
             return
         link = None
         if self.settings.zones > 1:
--- a/weldroute/model.py
+++ b/weldroute/model.py
@@ -67,6 +67,7 @@
     BROKEN = "broken"
     CANCELLED = "cancelled"
     VOID = "void"
+    REJECTED = "rejected"  # the server answered that the request itself is at fault
 
 
 #: Outcomes that prove that the attempt never ran.
