Take a backend for gone when a later one has its address

Cause: Backends.update kept both ids at one address. The one that started later owns the address now, and the other is told to the module as gone, whichever is named last. What the module keeps of a backend that is gone is its zone and cell, as repeats of what it ran go to that group.

Test fails without the change.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -255,6 +255,7 @@
         self._dial_timeout = dial_timeout
         self._idle_for = idle_for * IDLE_PART if idle_for > 0.0 else 60.0
         self._backends: dict[ServerId, Backend] = {}
+        self._owners: dict[Address, ServerId] = {}  # the last backend named at each address
         self._idle: dict[BackendConnection, None] = {}  # oldest first, over all backends
         self._busy: dict[BackendConnection, None] = {}
         self._crossings: deque[tuple[float, float]] = deque(maxlen=CROSSINGS)  # when, and how long idle
@@ -263,16 +264,35 @@
 
     # ---- the list ------------------------------------------------------------------------
 
-    def update(self, server: ServerId, dial: Address, born: float, usable: bool) -> None:
-        """Discovery names a backend, or names it anew."""
+    def update(self, server: ServerId, dial: Address, born: float, usable: bool) -> ServerId | None:
+        """Discovery names a backend, or names it anew; returns one that is gone, as its address shows.
+
+        Guards against requests to one backend reaching another: an address that a later one has taken over
+        says that the earlier one is no more, whether or not discovery has told so yet. Its drains, its warmth
+        and what is learned of it would be mistaken. Harm: two ids that share one address on purpose are
+        taken for a succession, if they started at different times.
+        """
+        owner = self._owners.get(dial)
+        if owner is not None and owner != server and self._backends[owner].born > born:
+            self.forget(server)
+            return server
         backend = self._backends.get(server)
         if backend is None:
-            self._backends[server] = Backend(dial, born, usable)
-            return
-        if dial != backend.dial or born != backend.born or not usable:
+            backend = self._backends[server] = Backend(dial, born, usable)
+        elif dial != backend.dial or born != backend.born or not usable:
             # Guards against requests into connections to a process that is no more.
             self.drop_idle(server)
+            self._disown(server, backend)
         backend.dial, backend.born, backend.usable = dial, born, usable
+        self._owners[dial] = server
+        if owner is not None and owner != server and self._backends[owner].born < born:
+            self.forget(owner)
+            return owner
+        return None
+
+    def _disown(self, server: ServerId, backend: Backend) -> None:
+        if self._owners.get(backend.dial) == server:
+            del self._owners[backend.dial]
 
     def forget(self, server: ServerId) -> None:
         """Discovery no longer names it."""
@@ -280,6 +300,7 @@
         backend = self._backends.pop(server, None)
         if backend is not None:
             backend.usable = False  # connections still in use are closed, not parked
+            self._disown(server, backend)
 
     def known(self) -> list[ServerId]:
         """The ids of all backends."""
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -38,6 +38,7 @@
     Refuse,
     Repeat,
     Send,
+    ServerRow,
     State,
     Subscribe,
     Timer,
@@ -399,15 +400,18 @@
         if kind is not ListKind.BROKEN and kind is not ListKind.PATCH:
             for gone in set(self.backends.known()) - {entry.row.server for entry in entries}:
                 self.backends.forget(gone)
+        rows = [entry.row for entry in entries]
         for entry in entries:
             row = entry.row
             if row.state is State.GONE:
                 self.backends.forget(row.server)
-            else:
-                self.backends.update(row.server, entry.dial, row.started, row.state is State.UP)
+                continue
+            displaced = self.backends.update(row.server, entry.dial, row.started, row.state is State.UP)
+            if displaced is not None:
+                log.info("backend %x is gone: another has its address", displaced)
+                rows.append(ServerRow(displaced, State.GONE))
         if kind is not ListKind.BROKEN and entries:
             log.info("list: %s of %d backends", kind.value, len(entries))
-        rows = [entry.row for entry in entries]
         self._dispatch(None, lambda now: self.balancer.members(now, kind, rows))
 
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -61,6 +61,31 @@
     run(test)
 
 
+def test_an_address_that_another_has_taken_over_says_that_the_first_is_gone() -> None:
+    """Whichever of the two discovery names last: the later start counts."""
+
+    async def test() -> None:
+        async with rig(serve_ok, serve_ok) as r:
+            watch = await r.discovery.watch()
+            old = r.backends[0].entry()
+            new = old | {"host": "s-9", "born_ms": 5000}
+            watch.tell(42, new)
+            await until(lambda: state(r, 9) is State.UP)
+            assert state(r, 1) is State.GONE
+            watch.tell(43, old)
+            watch.tell(44, r.backends[1].entry(health="terminated"))
+            await until(lambda: state(r, 2) is State.GONE)
+            assert state(r, 1) is State.GONE and state(r, 9) is State.UP
+            assert (await r.call())[0] == 200
+            watch.tell(45, new | {"health": "terminated"})
+            await until(lambda: state(r, 9) is State.GONE)
+            watch.tell(46, old)  # free again
+            await until(lambda: state(r, 1) is State.UP)
+            assert not r.proxy.backends._owners.keys() - {("127.0.0.1", r.backends[0].port)}
+
+    run(test)
+
+
 @pytest.mark.parametrize(
     "line", [b"{]\n", b'{"seq":"x","hosts":[]}\n', b'{"seq":42}\n', b"[1]\n", b'{"seq":3,"whole":false,"hosts":[]}\n']
 )
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -567,6 +567,9 @@
                 known.breaker = None  # a new process: nothing learned of the old one holds
                 known.latency = 0.0
                 known.cold_credit = 0.0
+            if row.state is State.GONE:
+                # Where it was still counts: repeats of what it may have run go to its group.
+                row = ServerRow(row.server, State.GONE, known.row.zone, known.row.cell, started=row.started)
             known.row = row
         # Guards against growing with every machine that was ever replaced: its id never comes back.
         self.servers = {k: s for k, s in self.servers.items() if s.row.state is not State.GONE or s.out}
