One request at a time on a caller's connection

The protocol has one request at a time, so whatever comes behind a request before its answer turns both away. This takes out the queue of requests read ahead, the pausing that bounded it, and the order of answers. A watch of discovery is dead after 4.2 s of silence, not 5.0: with a second to connect the list was later than the 6 s after which it counts as told.

--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import socket
-from collections import deque
 from typing import Protocol, cast
 
 from cometusher.budget import BodyMemory, Descriptors
@@ -24,7 +23,6 @@
 
 BACKLOG = 4096
 ACCEPTS = 64  # at one wake-up, so that accepting can't starve what is under way
-MAX_AHEAD = 16  # requests read ahead on one connection
 REQUEST_TIME = 2.1  # seconds for a whole request, from its first byte or, for the first, from connecting
 WRITE_STALL = 5.0  # seconds in which a caller takes nothing of an answer
 IDLE_TIMEOUT = 10.0  # seconds between requests...
@@ -54,19 +52,22 @@
 
 
 class CallerConnection(asyncio.Protocol):
-    """One caller's connection; its requests are handed on one after the other."""
+    """One caller's connection: one request at a time.
+
+    Guards against requests whose end is not where their sender thinks. What comes behind a request before
+    its answer is taken as a sign of that, and both are turned away: a wrong length would otherwise send a cut
+    body on and make a request of the rest. Harm: a caller that writes requests ahead (pipelining, which the
+    protocol does not have) gets an error.
+    """
 
     def __init__(self, callers: Callers) -> None:
         self._callers = callers
         self._transport: asyncio.Transport | None = None
         self._parser = RequestParser(self)
-        self._ahead: deque[Request] = deque()
-        self._busy = False  # a request is handed on and not yet answered
+        self._whole: Request | None = None  # not yet handed on
+        self._request: Request | None = None  # handed on and not yet answered
         self._taken: Taken | None = None
-        self._request: Request | None = None
-        self._fault: Malformed | None = None  # answered once what came before it is
         self._closing = False
-        self._reading = True
         self._dropped = 0  # bytes read and dropped while lingering
         self.carried = False  # a whole request has come on it
         self.since = 0.0  # of the present state, for time limits
@@ -80,10 +81,10 @@
         self._callers.opened(self)
 
     def data_received(self, data: bytes) -> None:
-        if self._closing or self._fault is not None:
+        if self._closing:
             self._drop(len(data))
             return
-        if not self._busy and not self.mid_request:
+        if self._request is None and not self.mid_request:
             # The first request's time counts from connecting, or a caller could put it off for good.
             if self.carried:
                 self.since = self._callers.loop.time()
@@ -91,24 +92,19 @@
         try:
             self._parser.feed(data)
         except Malformed as fault:
-            self._give_up_reading(fault)
+            self.turn_away(fault)
         except Exception:
             log.exception("reading a request failed")
-            self._give_up_reading(Malformed(400, "unreadable"))
-        self._next()
-        self._set_reading()
-        if self.idle:
-            self._callers.now_idle(self)  # nothing but line breaks, or answered at once
-
-    def _give_up_reading(self, fault: Malformed) -> None:
-        self._drop_partial()
-        self._fault = fault
+            self.turn_away(Malformed(400, "unreadable"))
+        else:
+            self._hand_on()
+            if self.idle:
+                self._callers.now_idle(self)  # nothing but line breaks, or answered at once
 
     def _drop(self, count: int) -> None:
         """Read and drop, so that closing does not destroy the answer on its way; but not without end."""
         self._dropped += count
-        if self._dropped > LINGER_BYTES and self._reading and self._transport is not None:
-            self._reading = False
+        if self._dropped > LINGER_BYTES and self._transport is not None and self._transport.is_reading():
             self._transport.pause_reading()
 
     def eof_received(self) -> None:
@@ -135,12 +131,16 @@
     @property
     def partial(self) -> bool:
         """Whether nothing but a request that is not whole is on this connection."""
-        return self.mid_request and not self._busy and not self._ahead
+        return self.mid_request and self._request is None
 
     @property
     def idle(self) -> bool:
         """Between requests."""
-        return not (self._busy or self._ahead or self._closing or self.mid_request or self._fault)
+        return self._request is None and not self._closing and not self.mid_request
+
+    def on_request_begin(self) -> None:
+        if self._request is not None or self._whole is not None:
+            raise Malformed(400, "more before the answer to a request")
 
     def on_request_head(self, request: Request) -> None:
         if request.method not in (b"GET", b"POST"):
@@ -153,18 +153,16 @@
         if expect is not None and not request.http10:
             if expect.lower() != b"100-continue":
                 raise Malformed(417, "unknown expectation")
-            # Answers in order: no interim one while an earlier request is still being answered.
-            if self._transport is not None and not self._busy and request.length != 0:
+            if self._transport is not None and request.length != 0:
                 self._transport.write(CONTINUE)
 
     def on_request(self, request: Request) -> None:
         if not self.carried:
             self._callers.speaks(self)
-        request.arrived = self._callers.loop.time()
         self._callers.memory.give(request.charged - len(request.body))
         request.charged = len(request.body)
         self.carried = True
-        self._ahead.append(request)
+        self._whole = request
 
     def _forget(self, request: Request) -> None:
         """Let go of a request's body."""
@@ -177,30 +175,14 @@
         if current is not None:
             self._forget(current)
 
-    def _set_reading(self) -> None:
-        if self._closing:
+    def _hand_on(self) -> None:
+        request, self._whole = self._whole, None
+        if request is None:
             return
-        # A caller that writes ahead without end must not fill the memory.
-        want = len(self._ahead) < MAX_AHEAD
-        if want is not self._reading and self._transport is not None and not self._transport.is_closing():
-            self._reading = want
-            (self._transport.resume_reading if want else self._transport.pause_reading)()
-
-    def _next(self) -> None:
-        """Hand on the next request, if the one before it is answered."""
-        while not self._busy and not self._closing and self._transport is not None:
-            if self._ahead:
-                request = self._ahead.popleft()
-                self._busy = True
-                self._request = request
-                taken = self._callers.handler.take(self, request)
-                if self._busy:
-                    self._taken = taken
-                self._set_reading()
-            elif self._fault is not None:
-                self._refuse_malformed(self._fault)
-            else:
-                return
+        self._request = request
+        taken = self._callers.handler.take(self, request)
+        if self._request is request:
+            self._taken = taken
 
     def _refuse_malformed(self, fault: Malformed) -> None:
         log.info("malformed request: %d %s", fault.status, fault)
@@ -233,17 +215,13 @@
         self._answered(close)
 
     def turn_away(self, fault: Malformed) -> None:
-        """Answer the request that is handed on as one that can't be used, and end the connection.
+        """Tell a caller that what it sent can't be used, and end the connection.
 
         Guards against callers that send the same again as soon as they are told no: what else they have
         written is dropped, and the next try costs them a connection. Harm: a caller with one odd request
         in a hundred opens a connection for each.
         """
-        self._finish_request()
-        for request in self._ahead:
-            self._forget(request)
-        self._ahead.clear()
-        self._drop_partial()
+        self._leave()
         if self._transport is not None:
             self._refuse_malformed(fault)
 
@@ -258,7 +236,6 @@
 
     def _finish_request(self) -> None:
         self.release_body()
-        self._busy = False
         self._taken = None
         self._request = None
 
@@ -269,19 +246,17 @@
             self._closing = True
             if self._transport is not None:
                 self._transport.close()
-        elif self._ahead or self._fault is not None:
-            self._callers.loop.call_soon(self._next)
         elif self.idle:
             self._callers.now_idle(self)
 
     # ---- ends ----------------------------------------------------------------------------
 
     def _leave(self) -> None:
-        """The caller has gone away."""
+        """Nothing more is owed to this caller."""
         self._drop_partial()
-        for request in self._ahead:
-            self._forget(request)
-        self._ahead.clear()
+        if self._whole is not None:
+            self._forget(self._whole)
+            self._whole = None
         taken = self._taken
         self._finish_request()
         self._closing = True
@@ -316,8 +291,7 @@
             if age > (idle_for if self.carried else REQUEST_TIME):
                 self.close()
         elif self.partial and age > REQUEST_TIME:
-            self._give_up_reading(Malformed(408, "the request did not come in time"))
-            self._next()
+            self.turn_away(Malformed(408, "the request did not come in time"))
 
     def evict(self, now: float) -> bool:
         """Make room for others, if nothing of worth is on this connection that has carried nothing yet."""
--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -23,7 +23,7 @@
 log = logging.getLogger(__name__)
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-HEARTBEAT = 5.0  # seconds of silence after which a watch is dead; an empty line is due every 2 s
+HEARTBEAT = 4.2  # seconds of silence after which a watch is dead; an empty line is due every 2 s
 CALL_WAIT = 20.0  # seconds that a call may wait in turn, where discovery is asked
 CONNECT = 1.0
 BACKOFF_FROM, BACKOFF_TO = 0.1, 2.0
--- a/cometusher/http1.py
+++ b/cometusher/http1.py
@@ -105,7 +105,7 @@
 class Request:
     """A caller's request as it came; header names are in lower case."""
 
-    __slots__ = ("arrived", "body", "charged", "headers", "http10", "keep_alive", "length", "method", "target")
+    __slots__ = ("body", "charged", "headers", "http10", "keep_alive", "length", "method", "target")
 
     def __init__(self) -> None:
         self.method = b""
@@ -116,7 +116,6 @@
         self.charged = 0  # bytes that the memory budget counts for the body
         self.keep_alive = True
         self.http10 = False
-        self.arrived = 0.0
 
     def header(self, name: bytes) -> bytes | None:
         """The header of this name; one that is repeated is malformed, for another reader may take another."""
@@ -202,6 +201,9 @@
 class RequestSink(Protocol):
     """Who is told of requests."""
 
+    def on_request_begin(self) -> None:
+        """The first byte has come."""
+
     def on_request_head(self, request: Request) -> None:
         """The head is whole."""
 
@@ -235,6 +237,7 @@
                 self._parser = httptools.HttpRequestParser(self)
 
     def on_message_begin(self) -> None:
+        self._sink.on_request_begin()
         self._begin()
         self.current = Request()
 
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -227,8 +227,7 @@
         now = self.clock.now()
         longest = self.config.settings.classes[kind].deadline
         budget = longest if budget is None else min(budget, longest)
-        # Read ahead on a busy connection, it has been waiting since its last byte came.
-        deadline = now - (self.loop.time() - request.arrived) + budget
+        deadline = now + budget
         self._count += 1
         call_id = request.header(b"x-call-id") or b""
         exchange = Exchange(self, caller, request, str(self._count), call_id, deadline)
