--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -52,6 +52,7 @@
 COPY_SHARE = 0.02  # second copies for each request, on average
 COPY_BURST = 1.0  # second copies saved up, at most
 COPY_CALM = 1.3  # none while the tier's latency is over this multiple of its slow-rising baseline
+SAME_SERVER = 3  # attempts of one request at one server, at most
 WINDOW_MARGIN = 0.9  # the part of a keyed class's window in which repeats are sent
 
 STALE = 5.0  # seconds after which a silent server's latency counts half, the tier's the other half
@@ -715,7 +716,7 @@
         """Send once more to a server that had the request, where there is no other.
 
         Guards against giving up where a group is small: an answer that was spoilt or lost on its way says
-        little of the server, and it is in its own group, so that it knows the key. Once only, and neither
+        little of the server, and it is in its own group, so that it knows the key. A few times only, and neither
         after a time-out nor where that server's breaker refuses: there it would be more of what hurts it.
         """
         last = request.attempts[-1]
@@ -724,7 +725,9 @@
             return False
         if among is not None and server not in among:
             return False
-        if sum(a.server is server for a in request.attempts) > 1 or server.cold_until(self.settings.rules) > now:
+        if sum(a.server is server for a in request.attempts) >= SAME_SERVER:
+            return False
+        if server.cold_until(self.settings.rules) > now:
             return False
         timeout = self.settings.classes[request.kind].aim
         if server.breaker is not None and server.breaker.refuses(now, timeout, self.rng):
