--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -322,7 +322,10 @@
             self.loop.call_soon(self.end, attempt, Outcome.UNREACHABLE, None, "no such backend")
             return
         now = self.loop.time()
-        while backend.idle:
+        # Guards against losing a repeat to the next dead connection: one that must not be lost and has been
+        # broken once goes out on a new one. Harm: the work of a handshake for each such repeat.
+        fresh = attempt.number > 0 and not attempt.repeatable
+        while backend.idle and not fresh:
             connection = backend.idle[-1]
             age = now - connection.idle_since
             if age >= self._idle_for or not connection.clean():
@@ -343,7 +346,9 @@
         else:
             # Guards against taking a backend that resets whatever comes for one that closes early: new
             # connections would cost it work and help nobody (incident r75d229).
-            self._crossings.clear()
+            # One at a time: where both kinds come, the early closers still show.
+            if self._crossings:
+                self._crossings.popleft()
 
     def _trusted(self, now: float) -> float:
         """For how long a connection may have been idle if what is written to it must not be lost.
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 from typing import Protocol, cast
@@ -34,7 +35,7 @@
 LINGER = 0.5  # seconds in which what a caller still writes is read and dropped
 LINGER_BYTES = 256 * 1024  # and how much of it
 DRAIN_ACCEPT = 0.45  # seconds after the order to stop in which new connections are taken
-DRAIN_READ = 0.7  # and those after which a request that is not whole is given up
+DRAIN_READ = 0.25  # seconds for the rest of a request once no further one is wanted
 
 
 class Taken(Protocol):
@@ -312,6 +313,7 @@
         self.loop = loop
         self.handler = handler
         self.memory = memory
+        self.leaving = False  # nothing new is listened for
         self.ending = False  # every answer closes its connection
         self.crowded = False  # connections wait for a free descriptor
         self.empty = asyncio.Event()
@@ -469,30 +471,41 @@
 
     # ---- the end -------------------------------------------------------------------------
 
-    async def drain(self) -> None:
+    async def drain(self, keep: float) -> None:
         """End in order: take what still comes, then answer what was taken, and close.
 
         Guards against losing requests at a planned restart: connections go on coming for a while after
-        the order to stop, and what waits in the backlog when the listener closes would be reset.
+        the order to stop, and what waits in the backlog when the listener closes would be reset. Callers go
+        on using the connections that they have, and may have nowhere else to go until the next process is
+        up: so these are served for `keep` seconds.
         """
+        until = self.loop.time() + keep
         await asyncio.sleep(DRAIN_ACCEPT)
-        self.ending = True
+        self.leaving = True
         if self._socket is not None:
             self._accept()
             if self._accepting:
                 self.loop.remove_reader(self._socket.fileno())
             self._accepting = False
+            self.crowded = False
             self._socket.close()
             self._socket = None
         while self._tasks:
             await asyncio.wait(self._tasks)
+        await self._emptied(max(0.0, until - self.loop.time()))
+        self.ending = True
         for connection in list(self._connections):
             if connection.idle:
                 connection.close()
-        self.loop.call_later(DRAIN_READ - DRAIN_ACCEPT, self._give_up_partial)
+        self.loop.call_later(DRAIN_READ, self._give_up_partial)
+        await self._emptied(None)
+
+    async def _emptied(self, within: float | None) -> None:
+        """Wait until no connection is left, or for so long."""
         self._draining = True
         if self._connections:
-            await self.empty.wait()
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.empty.wait(), within)
 
     def _give_up_partial(self) -> None:
         for connection in list(self._connections):
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -50,6 +50,10 @@
 READY_PATH = b"/up"
 SWEEP = 0.1  # seconds between looks at idle connections and time limits
 REPORT = 10.0  # seconds between lines of figures in the log
+DRAIN_FIRST = 0.7  # seconds after the order to stop in which requests come that must have their whole time
+DRAIN_LONGEST = 3.0  # seconds of a caller's time that the end by force waits for, at most
+DRAIN_SPARE = 0.2  # seconds before that end by which all is answered
+DRAIN_SERVE = 1.2  # ...and by which the last request is taken: most answers take less
 PRIVATE = frozenset({b"x-load-report", b"x-rejected"})  # between backends and proxies only
 
 
@@ -114,6 +118,8 @@
         self._tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
         self._exchanges: dict[str, Exchange] = {}
         self._open_ids: set[bytes] = set()  # the callers' own ids of all exchanges
+        self._longest = 0.0  # seconds that a caller has given for an answer
+        self._latest = float("inf")  # when the last answer is due: the process is about to end
         self._count = 0
         self._tallies: dict[str, int] = {}
         self._report_at = loop.time() + REPORT
@@ -147,8 +153,16 @@
             log.warning("a change of listen or settings waits for the next start")
 
     async def drain(self) -> None:
-        """End in order: everything that was taken is answered."""
-        await self.callers.drain()
+        """End in order: everything that was taken is answered, and in time.
+
+        The end by force comes at the earliest when a request that came in the first moments has had the
+        longest time that callers give. Until then those that stay connected are served; what they ask late
+        gets an answer before that end, whatever it is. Harm: where that end comes sooner, requests are lost.
+        """
+        longest = min(self._longest, DRAIN_LONGEST)
+        if longest:
+            self._latest = self.clock.now() + DRAIN_FIRST + longest - DRAIN_SPARE
+        await self.callers.drain(DRAIN_FIRST + longest - DRAIN_SERVE)
         await self.discovery.stop()
 
     def _sweep(self) -> None:
@@ -215,7 +229,7 @@
     def take(self, caller: CallerConnection, request: Request) -> Exchange | None:
         """A whole request has come."""
         if request.target == READY_PATH and request.method == b"GET":
-            caller.answer(503 if self.callers.ending else 200, [], b"")
+            caller.answer(503 if self.callers.leaving else 200, [], b"")
             return None
         try:
             kind, budget = self._read(request)
@@ -227,7 +241,8 @@
         now = self.clock.now()
         longest = self.config.settings.classes[kind].deadline
         budget = longest if budget is None else min(budget, longest)
-        deadline = now + budget
+        self._longest = max(self._longest, budget)
+        deadline = min(now + budget, self._latest)
         self._count += 1
         call_id = request.header(b"x-call-id") or b""
         exchange = Exchange(self, caller, request, str(self._count), call_id, deadline)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,10 +4,18 @@
 
 import pytest
 
-from cometusher import callers
+from cometusher import backends, callers
 
 
 @pytest.fixture(autouse=True)
 def _quick_drain(monkeypatch: pytest.MonkeyPatch) -> None:
     """The proxy of a test ends at once; the waits of a real one are tested on a process."""
     monkeypatch.setattr(callers, "DRAIN_ACCEPT", 0.0)
+
+
+@pytest.fixture(autouse=True)
+def _patience(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Time limits that a slow machine could meet by chance; a test of one sets it."""
+    monkeypatch.setattr(callers, "REQUEST_TIME", 60.0)
+    monkeypatch.setattr(callers, "IDLE_CROWDED", 60.0)
+    monkeypatch.setattr(backends, "ANSWER_TIME", 60.0)
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -1,8 +1,8 @@
 """All decisions of the balancer: which server, whether at all, again, or not any more.
 
 Pure and sans-I/O: every method takes the time, returns the actions to carry out, and reads no clock.
-All randomness comes from the seed. The mechanism is that of go-zero PR #5366 with SRE-book throttling
-(docs/design.md): each server has a breaker that refuses locally with the larger of an error chance and
+All randomness comes from the seed. The mechanism is that of go-zero PR #5366 with SRE-book throttling:
+each server has a breaker that refuses locally with the larger of an error chance and
 a latency chance; of two random ready servers the one with the lower latency x (in-flight + 1) is taken.
 """
 
@@ -48,10 +48,11 @@
 DRAWS = 8  # random draws for two candidates, at most
 RETRY_SHARE = 0.2  # further attempts for each request, on average
 RETRY_BURST = 10.0  # further attempts saved up, at most
-COPY_AFTER = 5.0  # a second copy goes out when the first is out for this multiple of the tier's latency
+COPY_AFTER = 4.0  # a second copy goes out when the first is out for this multiple of the tier's latency
 COPY_SHARE = 0.02  # second copies for each request, on average
 COPY_BURST = 1.0  # second copies saved up, at most
-COPY_CALM = 1.3  # none while the tier's latency is over this multiple of its slow-rising baseline
+COPY_CALM = 2.0  # none while the tier's latency is over this multiple of its slow-rising baseline
+SAME_SERVER = 3  # attempts of one request at one server, at most
 WINDOW_MARGIN = 0.9  # the part of a keyed class's window in which repeats are sent
 
 STALE = 5.0  # seconds after which a silent server's latency counts half, the tier's the other half
@@ -714,17 +715,20 @@
     def _resend(self, now: float, request: Request, among: list[Server] | None, out: list[Action]) -> bool:
         """Send once more to a server that had the request, where there is no other.
 
-        Guards against giving up where a group is small: an answer that was spoilt or lost on its way says
-        little of the server, and it is in its own group, so that it knows the key. Once only, and neither
-        after a time-out nor where that server's breaker refuses: there it would be more of what hurts it.
+        Guards against giving up where a group is small: an answer that was spoilt or lost on its way, or that
+        is long overdue (a second copy, on a connection of its own), says little of the server, and it is in
+        its own group, so that it knows the key. A few times only, and neither after a time-out nor where that
+        server's breaker refuses: there it would be more of what hurts it.
         """
         last = request.attempts[-1]
         server = last.server
-        if last.how is not Outcome.BROKEN or server.row.state is not State.UP:
+        if last.how not in (None, Outcome.BROKEN) or server.row.state is not State.UP:
             return False
         if among is not None and server not in among:
             return False
-        if sum(a.server is server for a in request.attempts) > 1 or server.cold_until(self.settings.rules) > now:
+        if sum(a.server is server for a in request.attempts) >= SAME_SERVER:
+            return False
+        if server.cold_until(self.settings.rules) > now:
             return False
         timeout = self.settings.classes[request.kind].aim
         if server.breaker is not None and server.breaker.refuses(now, timeout, self.rng):
