--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -53,7 +53,7 @@
 DRAIN_FIRST = 0.7  # seconds after the order to stop in which requests come that must have their whole time
 DRAIN_LONGEST = 3.0  # seconds of a caller's time that the end by force waits for, at most
 DRAIN_SPARE = 0.2  # seconds before that end by which all is answered
-DRAIN_SERVE = 1.2  # ...and by which the last request is taken: most answers take less
+DRAIN_SERVE = 0.7  # ...and by which the last request is taken: most answers take less
 PRIVATE = frozenset({b"x-load-report", b"x-rejected"})  # between backends and proxies only
 
 
@@ -118,7 +118,7 @@
         self._tenants = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
         self._exchanges: dict[str, Exchange] = {}
         self._open_ids: set[bytes] = set()  # the callers' own ids of all exchanges
-        self._longest = 0.0  # seconds that a caller has given for an answer
+        self._usual = [0.0 for _ in settings.classes]  # seconds that callers give for an answer
         self._latest = float("inf")  # when the last answer is due: the process is about to end
         self._count = 0
         self._tallies: dict[str, int] = {}
@@ -159,7 +159,7 @@
         longest time that callers give. Until then those that stay connected are served; what they ask late
         gets an answer before that end, whatever it is. Harm: where that end comes sooner, requests are lost.
         """
-        longest = min(self._longest, DRAIN_LONGEST)
+        longest = min(max(self._usual), DRAIN_LONGEST)
         if longest:
             self._latest = self.clock.now() + DRAIN_FIRST + longest - DRAIN_SPARE
         await self.callers.drain(DRAIN_FIRST + longest - DRAIN_SERVE)
@@ -241,7 +241,9 @@
         now = self.clock.now()
         longest = self.config.settings.classes[kind].deadline
         budget = longest if budget is None else min(budget, longest)
-        self._longest = max(self._longest, budget)
+        usual = self._usual[kind]
+        # Smoothed: one caller that claims a long time must not put off the end for all.
+        self._usual[kind] += (budget - usual) / 32.0 if usual else budget
         deadline = min(now + budget, self._latest)
         self._count += 1
         call_id = request.header(b"x-call-id") or b""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -729,6 +729,57 @@
     run(test)
 
 
+def test_a_second_copy_goes_to_the_only_backend_on_a_new_connection() -> None:
+    """The connection fell silent, not the backend: a keyed request has nowhere else to go."""
+
+    async def test() -> None:
+        hang = False
+
+        async def maybe(backend: Backend, seen: Seen, writer: Writer) -> None:
+            nonlocal hang
+            if hang:
+                hang = False  # this one, and no other
+            else:
+                writer.write(reply(body=seen.headers[b"x-call-id"]))
+
+        async with rig(maybe) as r:
+            for i in range(60):
+                assert (await r.call(rid=str(i)))[0] == 200
+            hang = True
+            status, seen = await r.call(kind="submit", rid="last")
+            assert (status, seen.body) == (200, b"last")
+            assert r.backends[0].connections == 2
+
+    run(test)
+
+
+def test_a_repeat_that_must_not_be_lost_gets_a_new_connection() -> None:
+    """Where one kept connection was dead, the next one may be: a keyed request's repeat does not take it."""
+
+    async def test() -> None:
+        kept: set[Writer] = set()
+        dead: set[Writer] = set()
+        both = asyncio.Barrier(2)
+
+        async def keep(backend: Backend, seen: Seen, writer: Writer) -> None:
+            if writer in dead:
+                await reset(backend, seen, writer)
+                return
+            if seen.headers[b"x-call-id"].startswith(b"pair"):
+                kept.add(writer)
+                await both.wait()  # so that each has a connection of its own
+            writer.write(reply())
+
+        async with rig(keep) as r:
+            await asyncio.gather(r.call(rid="pair1"), r.call(rid="pair2"))
+            await until(lambda: len(r.proxy.backends._idle) == 2)
+            dead |= kept
+            assert (await r.call(kind="submit", rid="3"))[0] == 200
+            assert r.backends[0].connections == 3
+
+    run(test)
+
+
 def test_what_must_not_be_lost_avoids_connections_that_may_be_dead() -> None:
     """Backends that close idle connections early: once seen, unsafe requests get new ones (incident r53795b)."""
 
