--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -48,10 +48,10 @@
 DRAWS = 8  # random draws for two candidates, at most
 RETRY_SHARE = 0.2  # further attempts for each request, on average
 RETRY_BURST = 10.0  # further attempts saved up, at most
-COPY_AFTER = 4.0  # a second copy goes out when the first is out for this multiple of the tier's latency
+COPY_AFTER = 5.0  # a second copy goes out when the first is out for this multiple of the tier's latency
 COPY_SHARE = 0.02  # second copies for each request, on average
 COPY_BURST = 1.0  # second copies saved up, at most
-COPY_CALM = 1.5  # none while the tier's latency is over this multiple of its slow-rising baseline
+COPY_CALM = 1.3  # none while the tier's latency is over this multiple of its slow-rising baseline
 SAME_SERVER = 3  # attempts of one request at one server, at most
 WINDOW_MARGIN = 0.9  # the part of a keyed class's window in which repeats are sent
 
