Parts that subsystems share: settings, records, service, tables; stand-ins as a package

The settings' reader stood in the simulator's adapter, the log and the start in __main__, the loopback peers in the tests. Each is a module of its own now, and the fleet's state machine and file reader join them.

--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -38,6 +38,20 @@
 DRAIN_READ = 0.25  # seconds for the rest of a request once no further one is wanted
 
 
+def open_listener(address: Address) -> socket.socket:
+    """A socket that listens on an address; raises OSError."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
+
+
 class Taken(Protocol):
     """A request that was handed on, as its connection sees it."""
 
@@ -330,15 +344,10 @@
 
     # ---- the listener --------------------------------------------------------------------
 
-    def listen(self, address: Address) -> None:
-        """Start to accept."""
-        family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-        listener = socket.socket(family, socket.SOCK_STREAM)
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.setblocking(False)
-        listener.bind(address)
-        listener.listen(BACKLOG)
-        self._socket = listener
+    def listen(self, address: Address, listener: socket.socket | None = None) -> None:
+        """Start to accept, on a listener that is handed in or on one of its own."""
+        self._socket = listener or open_listener(address)
+        self._socket.setblocking(False)
         self._resume_accepting()
 
     @property
--- a/cometusher/config.py
+++ b/cometusher/config.py
@@ -11,7 +11,7 @@
 import orjson
 
 from weldroute import Settings
-from weldroute.benchlink import read_settings
+from weldroute.settings import read_settings
 
 Address = tuple[str, int]
 
@@ -82,22 +82,11 @@
     return settings
 
 
-def load(environ: Mapping[str, str], again: bool = False) -> Config:
-    """Read the configuration; raises ConfigError.
+def build(values: dict[str, Any], environ: Mapping[str, str], again: bool = False) -> Config:
+    """The configuration out of its file's values and the environment; raises ConfigError.
 
     Read again, the file says where discovery is now: the environment is that of the start and can't change.
     """
-    path = environ.get("LB_CONFIG")
-    if not path:
-        raise ConfigError("LB_CONFIG: not set")
-    try:
-        values = orjson.loads(Path(path).read_bytes())
-    except OSError as fault:
-        raise ConfigError(f"LB_CONFIG: {path}: {fault.strerror}") from fault
-    except orjson.JSONDecodeError as fault:
-        raise ConfigError(f"LB_CONFIG: {path}: not JSON: {fault}") from fault
-    if not isinstance(values, dict):
-        raise ConfigError(f"LB_CONFIG: {path}: not an object")
     limits = _object(values, "limits")
     raw = _object(values, "settings")
     settings = _settings(raw)
@@ -116,3 +105,24 @@
         settings=settings,
         zones=tuple(str(zone) for zone in raw.get("Zones") or ()),
     )
+
+
+def check(values: dict[str, Any]) -> None:
+    """Raise ConfigError if a proxy could not start with a file of these values alone."""
+    build(values, {})
+
+
+def load(environ: Mapping[str, str], again: bool = False) -> Config:
+    """Read the configuration at LB_CONFIG; raises ConfigError."""
+    path = environ.get("LB_CONFIG")
+    if not path:
+        raise ConfigError("LB_CONFIG: not set")
+    try:
+        values = orjson.loads(Path(path).read_bytes())
+    except OSError as fault:
+        raise ConfigError(f"LB_CONFIG: {path}: {fault.strerror}") from fault
+    except orjson.JSONDecodeError as fault:
+        raise ConfigError(f"LB_CONFIG: {path}: not JSON: {fault}") from fault
+    if not isinstance(values, dict):
+        raise ConfigError(f"LB_CONFIG: {path}: not an object")
+    return build(values, environ, again)
--- /dev/null
+++ b/cometusher/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A fleet of instances under one supervisor; the decisions are `weldroute.fleet`'s."""
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import socket
 import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
@@ -121,7 +122,9 @@
         self._usual = [0.0 for _ in settings.classes]  # seconds that callers give for an answer
         self._latest = float("inf")  # when the last answer is due: the process is about to end
         self._count = 0
-        self._tallies: dict[str, int] = {}
+        self.tallies: dict[str, int] = {}  # since the start
+        self._reported: dict[str, int] = {}
+        self.mark: Headers = []  # headers on the answer to a readiness check: which process this is
         self._report_at = loop.time() + REPORT
         known = read_listing({"hosts": []} | config.known, config.zones)
         self.discovery = Discovery(
@@ -132,10 +135,10 @@
 
     # ---- life ----------------------------------------------------------------------------
 
-    def start(self) -> None:
-        """Listen, and follow discovery."""
+    def start(self, listener: socket.socket | None = None) -> None:
+        """Listen, on the address of the configuration or a listener that is handed in, and follow discovery."""
         self._dispatch(None, lambda now: self.balancer.start(now))
-        self.callers.listen(self.config.listen)
+        self.callers.listen(self.config.listen, listener)
         self.discovery.start()
         self.loop.call_later(SWEEP, self._sweep)
 
@@ -169,18 +172,24 @@
         self.loop.call_later(SWEEP, self._sweep)
         self.backends.sweep()
         self.callers.sweep()
-        if self._tallies and self.loop.time() >= self._report_at:
+        if self.loop.time() >= self._report_at and self.tallies != self._reported:
             self._report_at = self.loop.time() + REPORT
+            fresh = {name: n - self._reported.get(name, 0) for name, n in self.tallies.items()}
             busy, idle = self.backends.counts()
             log.info(
                 "%s; now: %d requests, %d callers, backends %d busy %d idle, descriptors peak %d, bodies peak %d kB",
-                ", ".join(f"{name} {n}" for name, n in sorted(self._tallies.items())), len(self._exchanges),
+                ", ".join(f"{name} {n}" for name, n in sorted(fresh.items()) if n), len(self._exchanges),
                 self.callers.count(), busy, idle, self.descriptors.peak, self.memory.peak // 1024,
             )
-            self._tallies.clear()
+            self._reported = dict(self.tallies)
 
     def _tally(self, name: str) -> None:
-        self._tallies[name] = self._tallies.get(name, 0) + 1
+        self.tallies[name] = self.tallies.get(name, 0) + 1
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that were taken and are not settled."""
+        return len(self._exchanges)
 
     # ---- dispatch ------------------------------------------------------------------------
 
@@ -229,7 +238,7 @@
     def take(self, caller: CallerConnection, request: Request) -> Exchange | None:
         """A whole request has come."""
         if request.target == READY_PATH and request.method == b"GET":
-            caller.answer(503 if self.callers.leaving else 200, [], b"")
+            caller.answer(503 if self.callers.leaving else 200, list(self.mark), b"")
             return None
         try:
             kind, budget = self._read(request)
--- /dev/null
+++ b/cometusher/tables.py
@@ -0,0 +1,176 @@
+"""Reading configuration files (TOML): typed values, and errors that name the file, the line and the key.
+
+Each subsystem has a file of its own, and reads it through a `Table`. A table knows which of its keys were asked
+for, so that `done` can tell a misspelt one. Nothing is applied before the whole file has been read.
+"""
+
+from __future__ import annotations
+
+import difflib
+import math
+import re
+import tomllib
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any, TypeVar
+
+from cometusher.config import Address, ConfigError, read_address
+
+T = TypeVar("T")
+MAX_FILE = 4 * 1024 * 1024  # bytes
+
+_HEADER = re.compile(r"^\s*(\[\[?)\s*([A-Za-z0-9_.\"' -]+?)\s*\]\]?\s*(?:#.*)?$")
+_KEY = re.compile(r"^\s*([A-Za-z0-9_.\"'-]+)\s*=")
+
+
+def _find_lines(text: str) -> dict[str, int]:
+    """The line of each header and key, by its full name; an estimate that only error texts use."""
+    lines: dict[str, int] = {}
+    counts: dict[str, int] = {}
+    prefix = ""
+    for number, line in enumerate(text.splitlines(), 1):
+        if header := _HEADER.match(line):
+            name = header[2].replace('"', "").replace("'", "")
+            if header[1] == "[[":
+                counts[name] = counts.get(name, -1) + 1
+                name = f"{name}[{counts[name]}]"
+            prefix = name
+            lines.setdefault(name, number)
+        elif key := _KEY.match(line):
+            name = key[1].replace('"', "").replace("'", "")
+            lines.setdefault(f"{prefix}.{name}" if prefix else name, number)
+    return lines
+
+
+class Source:
+    """A file, and where its keys stand."""
+
+    def __init__(self, path: Path, text: str) -> None:
+        self.path = path
+        self.lines = _find_lines(text)
+
+    def fault(self, at: str, why: str) -> ConfigError:
+        """An error at a key; the nearest enclosing table's line is named where the key has none."""
+        name = at
+        while name and name not in self.lines:
+            name = name.rpartition(".")[0]
+        line = f":{self.lines[name]}" if name else ""
+        return ConfigError(f"{self.path}{line}: {at}: {why}")
+
+
+class Table:
+    """One table of a file."""
+
+    def __init__(self, source: Source, values: dict[str, Any], name: str = "") -> None:
+        self.source = source
+        self.values = values
+        self.name = name
+        self._asked: set[str] = set()
+
+    def at(self, key: str) -> str:
+        """A key's full name."""
+        return f"{self.name}.{key}" if self.name else key
+
+    def fault(self, key: str, why: str) -> ConfigError:
+        """An error at a key of this table."""
+        return self.source.fault(self.at(key) if key else self.name, why)
+
+    def has(self, key: str) -> bool:
+        """Whether the file has a key."""
+        return key in self.values
+
+    def _take(self, key: str, default: T, read: Callable[[Any], T | None], kind: str) -> T:
+        self._asked.add(key)
+        if key not in self.values:
+            return default
+        value = read(self.values[key])
+        if value is None:
+            raise self.fault(key, f"{self.values[key]!r} is not {kind}")
+        return value
+
+    def text(self, key: str, default: str | None = None) -> str:
+        """A string that is not empty; without a default it has to be there."""
+        value = self._take(key, default or "", lambda v: v if isinstance(v, str) and v else None, "a text")
+        if not value and default is None:
+            raise self.fault(key, "missing")
+        return value
+
+    def number(self, key: str, default: float, low: float = 0.0, high: float = 1e9) -> float:
+        """A finite number within bounds."""
+
+        def read(value: Any) -> float | None:
+            right = isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value)
+            return float(value) if right and low <= value <= high else None
+
+        return self._take(key, default, read, f"a number from {low:g} to {high:g}")
+
+    def whole(self, key: str, default: int, low: int = 0, high: int = 2**31 - 1) -> int:
+        """A whole number within bounds."""
+
+        def read(value: Any) -> int | None:
+            return value if isinstance(value, int) and not isinstance(value, bool) and low <= value <= high else None
+
+        return self._take(key, default, read, f"a whole number from {low} to {high}")
+
+    def choice(self, key: str, default: str, among: Sequence[str]) -> str:
+        """One of some words."""
+        return self._take(key, default, lambda v: v if v in among else None, "one of " + ", ".join(among))
+
+    def texts(self, key: str) -> tuple[str, ...]:
+        """A list of strings; empty if absent."""
+
+        def read(value: Any) -> tuple[str, ...] | None:
+            good = isinstance(value, list) and value and all(isinstance(v, str) for v in value)
+            return tuple(value) if good else None
+
+        return self._take(key, (), read, "a list of texts")
+
+    def address(self, key: str, default: str | None = None) -> Address:
+        """`host:port`."""
+        text = self.text(key, default)
+        try:
+            return read_address(text, key)
+        except ConfigError:
+            raise self.fault(key, f"{text!r} is not host:port") from None
+
+    def table(self, key: str) -> Table:
+        """A table; empty if absent."""
+        value = self._take(key, {}, lambda v: v if isinstance(v, dict) else None, "a table")
+        return Table(self.source, value, self.at(key))
+
+    def tables(self, key: str) -> list[Table]:
+        """A list of tables; empty if absent."""
+
+        def read(value: Any) -> list[dict[str, Any]] | None:
+            return value if isinstance(value, list) and all(isinstance(v, dict) for v in value) else None
+
+        rows = self._take(key, [], read, "a list of tables")
+        return [Table(self.source, row, f"{self.at(key)}[{i}]") for i, row in enumerate(rows)]
+
+    def done(self) -> None:
+        """Raise ConfigError for a key that nobody asked for."""
+        for key in self.values:
+            if key not in self._asked:
+                near = difflib.get_close_matches(key, self._asked, 1)
+                raise self.fault(key, "unknown" + (f"; did you mean {near[0]}?" if near else ""))
+
+
+def read_file(path: Path) -> Table:
+    """A whole file; raises ConfigError that names what is wrong with it."""
+    try:
+        with path.open("rb") as file:
+            data = file.read(MAX_FILE + 1)
+    except OSError as fault:
+        raise ConfigError(f"{path}: {fault.strerror}") from fault
+    if len(data) > MAX_FILE:
+        raise ConfigError(f"{path}: larger than {MAX_FILE} bytes")
+    try:
+        text = data.decode()
+        values = tomllib.loads(text)
+    except UnicodeDecodeError as fault:
+        raise ConfigError(f"{path}: not UTF-8: {fault.reason} at byte {fault.start}") from None
+    except tomllib.TOMLDecodeError as fault:
+        where = re.search(r"\(at line (\d+)", str(fault))
+        line = f":{where[1]}" if where else f":{text.count(chr(10)) + 1}"
+        raise ConfigError(f"{path}{line}: not TOML: {fault}") from None
+    return Table(Source(path, text), values)
--- /dev/null
+++ b/standins/backend.py
@@ -0,0 +1,65 @@
+"""A scripted backend: what it does with each request is a function."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from standins.messages import Reader, Seen, Writer, read_message, reply
+
+Script = Callable[["Backend", Seen, Writer], Awaitable[None]]
+
+
+async def serve_ok(backend: Backend, seen: Seen, writer: Writer) -> None:
+    """Answer at once with the backend's name."""
+    writer.write(reply(body=backend.host.encode()))
+
+
+class Backend:
+    """A backend that does what its script says with each request."""
+
+    def __init__(self, number: int, script: Script = serve_ok) -> None:
+        self.host = f"s-{number:x}"
+        self.number = number
+        self.script = script
+        self.seen: list[Seen] = []
+        self.connections = 0
+        self.arrived = asyncio.Event()
+        self.closed = asyncio.Event()  # a connection was ended by the proxy
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: set[Writer] = set()
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0, limit=2**20)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self.connections += 1
+        self._writers.add(writer)
+        try:
+            while (seen := await read_message(reader)) is not None:
+                self.seen.append(seen)
+                self.arrived.set()
+                await self.script(self, seen, writer)
+        except (OSError, asyncio.IncompleteReadError, AssertionError):
+            pass
+        finally:
+            self._writers.discard(writer)
+            self.closed.set()
+            writer.close()
+
+    def entry(self, **changes: Any) -> dict[str, Any]:
+        """Discovery's line about it."""
+        line = {
+            "host": self.host, "dial": f"127.0.0.1:{self.port}", "site": "a", "class": "m", "block": 0,
+            "health": "in_service", "share": 1.0, "born_ms": 0,
+        }
+        return line | changes
--- /dev/null
+++ b/standins/discovery.py
@@ -0,0 +1,110 @@
+"""Discovery: a list of hosts and the watch on it, told by a script or kept up by itself."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import json
+from typing import Any
+
+from standins.messages import PATIENCE, Reader, Writer
+
+HEARTBEAT = 2.0  # seconds between the empty lines of a watch on which nothing changes
+
+
+class Watch:
+    """One watch that the proxy has opened."""
+
+    def __init__(self, line: bytes, writer: Writer) -> None:
+        self.line = line
+        self.writer = writer
+
+    def send(self, text: bytes) -> None:
+        self.writer.write(b"%x\r\n%s\r\n" % (len(text), text))
+
+    def tell(self, seq: int, *entries: dict[str, Any], whole: bool = False) -> None:
+        self.send(json.dumps({"seq": seq, "whole": whole, "hosts": entries}).encode() + b"\n")
+
+
+class Discovery:
+    """Discovery that hands each call to the test."""
+
+    def __init__(self) -> None:
+        self.watches: asyncio.Queue[Watch] = asyncio.Queue()
+        self.answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.port = 0
+        self._server: asyncio.Server | None = None
+        self._writers: list[Writer] = []
+
+    async def start(self) -> None:
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+        for writer in self._writers:
+            writer.transport.abort()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self._writers.append(writer)
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.write(self.answer)
+        self.watches.put_nowait(Watch(head.split(b"\r\n")[0], writer))
+        with contextlib.suppress(OSError):
+            await reader.read()
+        writer.close()
+
+    async def watch(self) -> Watch:
+        return await asyncio.wait_for(self.watches.get(), PATIENCE)
+
+
+class HostList(Discovery):
+    """Discovery that answers by itself: the whole list, then each change, and a heartbeat in between."""
+
+    def __init__(self, hosts: list[dict[str, Any]]) -> None:
+        super().__init__()
+        self.hosts = hosts
+        self.seq = 1
+        self._open: set[Watch] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def _serve(self, reader: Reader, writer: Writer) -> None:
+        self._writers.append(writer)
+        try:
+            head = await reader.readuntil(b"\r\n\r\n")
+        except (OSError, asyncio.IncompleteReadError, asyncio.LimitOverrunError):
+            writer.close()
+            return
+        line = head.split(b"\r\n")[0]
+        if b"watch=1" not in line:
+            body = json.dumps({"seq": self.seq, "whole": True, "hosts": self.hosts}).encode()
+            writer.write(b"HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: %d\r\n\r\n" % len(body) + body)
+            writer.close()
+            return
+        writer.write(self.answer)
+        watch = Watch(line, writer)
+        self._open.add(watch)
+        beat = asyncio.get_running_loop().create_task(self._beat(watch))
+        try:
+            watch.tell(self.seq, *self.hosts, whole=True)
+            with contextlib.suppress(OSError):
+                await reader.read()
+        finally:
+            beat.cancel()
+            self._open.discard(watch)
+            self._writers.remove(writer)
+            writer.close()
+
+    async def _beat(self, watch: Watch) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT)
+            watch.send(b"\n")
+
+    def change(self, *entries: dict[str, Any]) -> None:
+        """Replace entries by their host, and tell all watches."""
+        fresh = {entry["host"]: entry for entry in entries}
+        self.hosts = [h for h in self.hosts if h["host"] not in fresh] + list(entries)
+        self.seq += 1
+        for watch in self._open:
+            watch.tell(self.seq, *entries)
--- a/tests/test_benchlink.py
+++ b/tests/test_benchlink.py
@@ -9,7 +9,8 @@
 import pytest
 
 from weldroute import Balancer, Discovery, Group, Repeat, benchlink
-from weldroute.benchlink import read_settings, serve
+from weldroute.benchlink import serve
+from weldroute.settings import read_settings
 
 OPEN = {
     "m": "OpenInstance", "ProxyId": 3, "Entropy": 5,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -716,6 +716,7 @@
             if hang:
                 hang = False  # this one, and no other
             else:
+                await asyncio.sleep(0.02)  # so that no hiccup of the machine looks like slow work
                 writer.write(reply(body=seen.headers[b"x-call-id"]))
 
         async with rig(maybe, maybe) as r:
@@ -740,6 +741,7 @@
             if hang:
                 hang = False  # this one, and no other
             else:
+                await asyncio.sleep(0.02)  # so that no hiccup of the machine looks like slow work
                 writer.write(reply(body=seen.headers[b"x-call-id"]))
 
         async with rig(maybe) as r:
--- /dev/null
+++ b/weldroute/fleet.py
@@ -0,0 +1,737 @@
+"""Supervision of a fleet of instances: start now, wait, give up, replace, which next. Sans I/O, without clocks.
+
+Every event is a method that takes the time (seconds, of any clock that never steps back) and returns the actions
+to carry out, in order. An instance is a name that should run; a process is one try at it, with a generation of
+its own. An instance has one *current* process, at most one *fresh* one that is to replace it, and any number that
+are *leaving*.
+
+States of an instance, and what each event makes of them ("-": nothing):
+
+| state    | start    | ready | silent           | exited                  | stop     | replace            |
+| -------- | -------- | ----- | ---------------- | ----------------------- | -------- | ------------------ |
+| stopped  | starting | -     | -                | -                       | -        | -                  |
+| waiting  | starting | -     | -                | -                       | stopped  | starting           |
+| starting | -        | ready | killed: waiting  | waiting, or failed      | stopping | -                  |
+| ready    | -        | -     | busy, or killed  | waiting, or failed      | stopping | ready, fresh beside |
+| busy     | -        | ready | killed: waiting  | waiting, or failed      | stopping | busy, fresh beside |
+| stopping | starting when it has ended | - | killed | stopped, or as wanted   | -        | -                  |
+| failed   | starting | -     | -                | -                       | stopped  | starting           |
+
+`waiting` ends by itself when the backoff is over. `exited` leads to `failed` when the budget of restarts is used.
+
+A process is *ready* when it has said so through its pipe and has answered a readiness check. It is *hung* when
+neither a sign of life nor an answer has come for `hang_after` and it has used no processor time meanwhile; one
+that does use the processor is *busy*, and is hung only after `busy_limit`. The supervisor's own pauses count
+against nobody.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass, field, fields
+from enum import Enum
+from random import Random
+from typing import Any
+
+PAUSE = 2.0  # seconds between two ticks from which on the supervisor itself was stopped
+
+
+class Phase(Enum):
+    """Of a process."""
+
+    STARTING = "starting"
+    READY = "ready"
+    LEAVING = "leaving"  # told to end
+    KILLED = "killed"
+
+
+class State(Enum):
+    """Of an instance."""
+
+    STOPPED = "stopped"
+    WAITING = "waiting"
+    STARTING = "starting"
+    READY = "ready"
+    BUSY = "busy"
+    STOPPING = "stopping"
+    FAILED = "failed"
+
+
+class How(Enum):
+    """What a process is told."""
+
+    END = "end"
+    KILL = "kill"
+    RELOAD = "reload"
+
+
+class Step(Enum):
+    """What an operation does with one instance."""
+
+    START = "start"
+    STOP = "stop"
+    REPLACE = "replace"
+    RELOAD = "reload"
+    REMOVE = "remove"
+
+
+@dataclass(frozen=True, slots=True)
+class Policy:
+    """When to restart, how long to wait; times in seconds."""
+
+    ready_within: float = 10.0  # from the start of a process
+    start_at_once: int = 8  # processes that are starting at the same time
+    backoff_from: float = 0.2
+    backoff_to: float = 30.0
+    jitter: float = 0.25  # part of the backoff that chance adds or takes
+    budget: int = 8  # restarts within budget_window...
+    budget_window: float = 120.0  # ...more than that is given up
+    steady_after: float = 10.0  # a process that was ready for so long starts the backoff anew
+    hold: float = 1.0  # a listener is kept open while its instance is away for no longer than this
+    hang_after: float = 5.0  # without a sign of life
+    busy_limit: float = 30.0  # without one, while the processor is in use
+    stop_within: float = 8.0  # between the order to end and the end by force
+    reload_within: float = 5.0  # for an instance's word on a reload
+    at_once: int = 2  # instances that a rolling operation works on together
+
+    def check(self) -> None:
+        """Raise ValueError naming the first field that makes no sense."""
+        for item in fields(self):
+            value = getattr(self, item.name)
+            least = 1 if item.name in ("start_at_once", "at_once") else 0
+            if not math.isfinite(value) or value < least:
+                raise ValueError(f"{item.name}: {value!r} is not a number of {least} or more")
+        if self.jitter >= 1.0:
+            raise ValueError("jitter: must be below 1")
+        if self.backoff_to < self.backoff_from:
+            raise ValueError("backoff_to: below backoff_from")
+
+
+@dataclass(frozen=True, slots=True)
+class Exit:
+    """How a process ended: by a code or by a signal."""
+
+    code: int | None = None
+    signal: int | None = None
+    out_of_memory: bool = False
+
+    def __str__(self) -> str:
+        how = f"code {self.code}" if self.signal is None else f"signal {self.signal}"
+        return f"{how} (out of memory)" if self.out_of_memory else how
+
+
+@dataclass(frozen=True, slots=True)
+class Spawn:
+    """Start a process."""
+
+    name: str
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Signal a process."""
+
+    name: str
+    generation: int
+    how: How
+
+
+@dataclass(frozen=True, slots=True)
+class Release:
+    """Close the instance's listener, so that connections are refused at once and not left waiting."""
+
+    name: str
+
+
+@dataclass(frozen=True, slots=True)
+class Notice:
+    """Something that operators want to know."""
+
+    name: str
+    event: str
+    text: str
+    bad: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Done:
+    """An operation has ended."""
+
+    operation: int
+    ok: bool
+    text: str
+
+
+Action = Spawn | Tell | Release | Notice | Done
+
+
+class Process:
+    """One try at an instance."""
+
+    __slots__ = (
+        "beat_at", "busy", "cpu", "cpu_at", "deadline", "ending", "finished", "finished_at", "generation", "phase",
+        "piped", "ready_at", "since", "up_at",
+    )
+
+    def __init__(self, generation: int, now: float, deadline: float) -> None:
+        self.generation = generation
+        self.phase = Phase.STARTING
+        self.since = now
+        self.deadline = deadline  # of the present phase
+        self.piped = False
+        self.ready_at = math.inf
+        self.beat_at = now  # last word through the pipe
+        self.up_at = -math.inf  # last answer to a readiness check
+        self.cpu = 0.0  # seconds of processor time used...
+        self.cpu_at = now  # ...and when it last grew
+        self.finished = 0  # requests answered...
+        self.finished_at = now  # ...and when that last grew
+        self.busy = False
+        self.ending = ""  # why it was told to end
+
+    def shift(self, gap: float) -> None:
+        """Forget a time in which nobody could listen to it."""
+        self.deadline += gap
+        self.beat_at += gap
+        self.up_at += gap
+        self.cpu_at += gap
+        self.finished_at += gap
+
+
+ASKED, REPLACED = "asked", "replaced"
+EXPECTED = frozenset({ASKED, REPLACED})  # ends that are no fault of the instance's
+
+
+class Instance:
+    """One name that should run, or not."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.wanted = False
+        self.removed = False
+        self.current: Process | None = None
+        self.fresh: Process | None = None
+        self.leaving: dict[int, Process] = {}
+        self.generation = 0
+        self.due: float | None = None  # when to start the next process
+        self.crashed = False  # the next start is a restart
+        self.restarts = 0
+        self.quick = 0  # ends in a row without a steady time before
+        self.crashes: deque[float] = deque()
+        self.failed = False
+        self.reason = ""
+        self.last_exit: Exit | None = None
+        self.shown = State.STOPPED
+        self.since = 0.0
+
+    @property
+    def processes(self) -> list[Process]:
+        """All that have not ended."""
+        return [p for p in (self.current, self.fresh) if p is not None] + list(self.leaving.values())
+
+    @property
+    def state(self) -> State:
+        """See the table of the module."""
+        if self.current is not None:
+            phase = self.current.phase
+            if phase is Phase.READY:
+                return State.BUSY if self.current.busy else State.READY
+            return State.STARTING if phase is Phase.STARTING else State.STOPPING
+        if self.failed:
+            return State.FAILED
+        if not self.wanted:
+            return State.STOPPING if self.leaving else State.STOPPED
+        return State.WAITING
+
+    def find(self, generation: int) -> Process | None:
+        """The process of a generation, if it has not ended."""
+        return next((p for p in self.processes if p.generation == generation), None)
+
+
+@dataclass
+class Operation:
+    """What operators asked for, while it is under way."""
+
+    ident: int
+    kind: str
+    todo: deque[tuple[str, Step]]
+    at_once: int
+    total: int
+    doing: dict[str, tuple[Step, int, float]] = field(default_factory=dict)  # step, generation, deadline
+    done: int = 0
+    faults: list[str] = field(default_factory=list)
+
+    def progress(self) -> str:
+        """For people."""
+        return f"{self.kind}: {self.done} of {self.total} done"
+
+
+class Fleet:
+    """All instances of one supervisor."""
+
+    def __init__(self, policy: Policy, seed: int) -> None:
+        policy.check()
+        self.policy = policy
+        self.instances: dict[str, Instance] = {}
+        self.ending = False
+        self._rng = Random(seed)
+        self._count = 0
+        self._ticked: float | None = None
+        self._at_once: list[Operation] = []  # starts and stops: nothing to wait for
+        self._rolling: deque[Operation] = deque()  # the first is under way, the others wait for it
+        self._out: list[Action] = []
+
+    # ---- what operators ask for ----------------------------------------------------------
+
+    def add(self, now: float, name: str, generation: int = 0) -> None:
+        """Take an instance into the fleet; it is not started by that. Generations go on from the one given."""
+        self.instances[name] = instance = Instance(name)
+        instance.generation = generation
+        instance.since = now
+
+    def start(self, now: float, names: Iterable[str]) -> tuple[int, list[Action]]:
+        """Start instances that do not run; returns the operation's number."""
+        return self._begin(now, "start", [(name, Step.START) for name in names])
+
+    def stop(self, now: float, names: Iterable[str]) -> tuple[int, list[Action]]:
+        """Stop instances, and leave them stopped."""
+        return self._begin(now, "stop", [(name, Step.STOP) for name in names])
+
+    def restart(self, now: float, names: Iterable[str]) -> tuple[int, list[Action]]:
+        """Replace instances a few at a time: the fresh one is ready before the old one is told to end."""
+        return self._roll(now, "restart", [(name, Step.REPLACE) for name in names])
+
+    def reload(self, now: float, steps: Iterable[tuple[str, Step]]) -> tuple[int, list[Action]]:
+        """Bring instances to a new configuration, each by the step that it needs, a few at a time."""
+        return self._roll(now, "reload", list(steps))
+
+    def shutdown(self, now: float) -> list[Action]:
+        """Stop everything, for good."""
+        self.ending = True
+        for operation in [*self._at_once, *self._rolling]:
+            self._out.append(Done(operation.ident, False, f"{operation.progress()}; the fleet is stopping"))
+        self._at_once.clear()
+        self._rolling.clear()
+        return self.stop(now, list(self.instances))[1]
+
+    @property
+    def ended(self) -> bool:
+        """Nothing runs any more after a shutdown."""
+        return self.ending and not any(i.processes for i in self.instances.values())
+
+    @property
+    def operations(self) -> list[str]:
+        """Progress of all operations that are under way or wait."""
+        return [op.progress() for op in [*self._at_once, *self._rolling]]
+
+    def _begin(self, now: float, kind: str, steps: list[tuple[str, Step]]) -> tuple[int, list[Action]]:
+        operation = self._operation(kind, steps, len(steps))
+        self._at_once.append(operation)
+        return operation.ident, self._advance(now)
+
+    def _roll(self, now: float, kind: str, steps: list[tuple[str, Step]]) -> tuple[int, list[Action]]:
+        operation = self._operation(kind, steps, self.policy.at_once)
+        self._rolling.append(operation)
+        return operation.ident, self._advance(now)
+
+    def _operation(self, kind: str, steps: list[tuple[str, Step]], at_once: int) -> Operation:
+        self._count += 1
+        return Operation(self._count, kind, deque(steps), max(1, at_once), len(steps))
+
+    # ---- what processes do ---------------------------------------------------------------
+
+    def _process(self, name: str, generation: int) -> tuple[Instance, Process] | None:
+        instance = self.instances.get(name)
+        process = instance.find(generation) if instance is not None else None
+        return (instance, process) if instance is not None and process is not None else None
+
+    def spawn_failed(self, now: float, name: str, generation: int, why: str) -> list[Action]:
+        """A process could not be started."""
+        found = self._process(name, generation)
+        if found is not None:
+            self._gone(now, *found, why)
+        return self._advance(now)
+
+    def ready(self, now: float, name: str, generation: int) -> list[Action]:
+        """A process said through its pipe that it is ready."""
+        found = self._process(name, generation)
+        if found is not None:
+            found[1].piped = True
+            found[1].beat_at = now
+            self._check_ready(now, *found)
+        return self._advance(now)
+
+    def up(self, now: float, name: str, generation: int) -> list[Action]:
+        """A process answered a readiness check."""
+        found = self._process(name, generation)
+        if found is None:
+            return []
+        found[1].up_at = now
+        self._check_ready(now, *found)
+        return self._advance(now)
+
+    def beat(self, now: float, name: str, generation: int, finished: int) -> None:
+        """A process gave a sign of life; `finished` counts the requests that it has answered."""
+        found = self._process(name, generation)
+        if found is not None:
+            process = found[1]
+            process.beat_at = now
+            if finished != process.finished:
+                process.finished, process.finished_at = finished, now
+
+    def cpu(self, now: float, name: str, generation: int, seconds: float) -> None:
+        """How much processor time a process has used."""
+        found = self._process(name, generation)
+        if found is not None and seconds > found[1].cpu:
+            found[1].cpu, found[1].cpu_at = seconds, now
+
+    def suspects(self, now: float) -> list[tuple[str, int]]:
+        """Processes whose processor time is of interest: ready ones that have been silent for a while."""
+        return [
+            (i.name, i.current.generation)
+            for i in self.instances.values()
+            if i.current is not None and i.current.phase is Phase.READY
+            and now - min(i.current.beat_at, i.current.up_at) > self.policy.hang_after / 3.0
+        ]
+
+    def over_memory(self, now: float, name: str, generation: int, text: str) -> list[Action]:
+        """A process holds more memory than it may: it is told to end, and started again."""
+        found = self._process(name, generation)
+        if found is not None and found[1].phase in (Phase.STARTING, Phase.READY):
+            self._end(now, found[1], f"out of memory: {text}", name)
+        return self._advance(now)
+
+    def reloaded(self, now: float, name: str, generation: int, why: str | None) -> list[Action]:
+        """A process's word on a reload: done, or why not."""
+        for operation in [*self._at_once, *self._rolling]:
+            step = operation.doing.get(name)
+            if step is not None and step[:2] == (Step.RELOAD, generation):
+                self._step_done(operation, name, why and f"{name}: {why}")
+        return self._advance(now)
+
+    def exited(self, now: float, name: str, generation: int, how: Exit) -> list[Action]:
+        """A process has ended."""
+        found = self._process(name, generation)
+        if found is not None:
+            instance, process = found
+            if process.ending.startswith("out of memory"):
+                how = Exit(how.code, how.signal, True)
+            instance.last_exit = how
+            why = process.ending if process.ending and process.ending not in EXPECTED else ""
+            self._gone(now, instance, process, f"{why} ({how})" if why else f"exited with {how}")
+        return self._advance(now)
+
+    def tick(self, now: float) -> list[Action]:
+        """Time passes; to be called several times a second."""
+        gap = now - (now if self._ticked is None else self._ticked)
+        self._ticked = now
+        if gap > PAUSE:
+            self._out.append(Notice("", "paused", f"the supervisor itself stood still for {gap:.1f} s"))
+            for instance in self.instances.values():
+                for process in instance.processes:
+                    process.shift(gap)
+        for instance in self.instances.values():
+            for process in instance.processes:
+                self._look(now, instance, process)
+        return self._advance(now)
+
+    # ---- decisions -----------------------------------------------------------------------
+
+    def _check_ready(self, now: float, instance: Instance, process: Process) -> None:
+        if process.phase is not Phase.STARTING or not process.piped or process.up_at < process.since:
+            return
+        process.phase = Phase.READY
+        process.ready_at = process.beat_at = process.cpu_at = process.finished_at = now
+        if process is instance.fresh:
+            old, instance.current, instance.fresh = instance.current, process, None
+            if old is not None:
+                instance.leaving[old.generation] = old
+                self._end(now, old, REPLACED, instance.name)
+
+    def _look(self, now: float, instance: Instance, process: Process) -> None:
+        """Apply the time limits to one process."""
+        policy = self.policy
+        if process.phase is Phase.STARTING:
+            if now >= process.deadline:
+                self._kill(process, instance, f"not ready within {policy.ready_within:g} s")
+        elif process.phase is Phase.LEAVING:
+            if now >= process.deadline:
+                text = f"did not end within {policy.stop_within:g} s"
+                self._out.append(Notice(instance.name, "killed", text, True))
+                self._kill(process, instance, process.ending)
+        elif process.phase is Phase.READY:
+            self._look_alive(now, instance, process)
+
+    def _look_alive(self, now: float, instance: Instance, process: Process) -> None:
+        policy = self.policy
+        silent = now - max(process.beat_at, process.up_at)
+        unanswered = now - max(process.up_at, process.ready_at)
+        idle = now - process.cpu_at  # since the processor was last seen in use
+        if silent > policy.hang_after and idle > policy.hang_after:
+            self._kill(process, instance, f"hung: no sign of life for {silent:.1f} s and no processor time used")
+        elif silent > policy.busy_limit:
+            self._kill(process, instance, f"hung: no sign of life for {silent:.1f} s, busy all the time")
+        elif unanswered > policy.busy_limit and now - process.finished_at > policy.busy_limit:
+            self._kill(process, instance, f"hung: alive, but no request answered for {unanswered:.1f} s")
+        else:
+            process.busy = max(silent, unanswered) > policy.hang_after
+
+    def _kill(self, process: Process, instance: Instance, why: str) -> None:
+        if process.phase is Phase.KILLED:
+            return
+        process.phase = Phase.KILLED
+        process.ending = why
+        if why not in EXPECTED:
+            self._out.append(Notice(instance.name, "replaced", f"generation {process.generation}: {why}", True))
+        self._out.append(Tell(instance.name, process.generation, How.KILL))
+
+    def _end(self, now: float, process: Process, why: str, name: str) -> None:
+        if process.phase in (Phase.LEAVING, Phase.KILLED):
+            return
+        process.phase = Phase.LEAVING
+        process.ending = why
+        process.deadline = now + self.policy.stop_within
+        self._out.append(Tell(name, process.generation, How.END))
+
+    def _gone(self, now: float, instance: Instance, process: Process, why: str) -> None:
+        """A process is no more: what next."""
+        was_ready = process.ready_at <= now
+        if not was_ready and process.ending not in EXPECTED:
+            self._step_failed(instance.name, process.generation, why)
+        if process is instance.fresh:
+            instance.fresh = None
+            self._out.append(Notice(instance.name, "exited", f"the fresh process {why}; the old one stays", True))
+            return
+        if process is not instance.current:
+            instance.leaving.pop(process.generation, None)
+            return
+        instance.current = None
+        if not instance.wanted or process.ending in EXPECTED:
+            instance.due = now if instance.wanted else None
+            return
+        self._crashed(now, instance, process, why)
+
+    def _crashed(self, now: float, instance: Instance, process: Process, why: str) -> None:
+        policy = self.policy
+        instance.reason = why
+        instance.crashed = True
+        instance.crashes.append(now)
+        while instance.crashes[0] <= now - policy.budget_window:
+            instance.crashes.popleft()
+        steady = now - process.ready_at >= policy.steady_after
+        instance.quick = 1 if steady else instance.quick + 1
+        if instance.fresh is not None:
+            instance.current, instance.fresh = instance.fresh, None
+            instance.restarts += 1
+            instance.crashed = False
+            self._out.append(Notice(instance.name, "exited", f"{why}; the fresh process takes over", True))
+        elif len(instance.crashes) > policy.budget:
+            instance.failed = True
+            instance.reason = f"ended {len(instance.crashes)} times within {policy.budget_window:g} s; last: {why}"
+            instance.due = None
+            self._out.append(Notice(instance.name, "failed", instance.reason, True))
+            self._out.append(Release(instance.name))
+        else:
+            delay = self._backoff(instance.quick)
+            instance.due = now + delay
+            self._out.append(Notice(instance.name, "exited", f"{why}; next start in {delay:.2f} s", True))
+            if delay > policy.hold:
+                self._out.append(Release(instance.name))
+
+    def _backoff(self, quick: int) -> float:
+        """Exponential, with jitter: instances that fell together must not start together."""
+        policy = self.policy
+        delay = min(policy.backoff_to, policy.backoff_from * 2.0 ** min(quick - 1, 60))
+        return delay * (1.0 + policy.jitter * (2.0 * self._rng.random() - 1.0))
+
+    # ---- operations ----------------------------------------------------------------------
+
+    def _advance(self, now: float) -> list[Action]:
+        """Carry operations on, start what is due, and note changes of state."""
+        for operation in list(self._at_once):
+            self._carry_on(now, operation)
+            if not operation.doing and not operation.todo:
+                self._at_once.remove(operation)
+                self._finish(operation)
+        while self._rolling:
+            operation = self._rolling[0]
+            self._carry_on(now, operation)
+            if operation.doing or operation.todo:
+                break
+            self._rolling.popleft()
+            self._finish(operation)
+        self._start_due(now)
+        for instance in list(self.instances.values()):
+            self._note(now, instance)
+        out, self._out = self._out, []
+        return out
+
+    def _finish(self, operation: Operation) -> None:
+        ok = not operation.faults
+        text = operation.progress()
+        if not ok:
+            text += "; " + "; ".join(operation.faults)
+        self._out.append(Done(operation.ident, ok, text))
+
+    def _carry_on(self, now: float, operation: Operation) -> None:
+        for name in list(operation.doing):
+            self._check_step(now, operation, name)
+        if operation.faults and operation.todo and operation in self._rolling:
+            operation.faults.append(f"halted: {len(operation.todo)} left as they were")
+            operation.todo.clear()
+        while operation.todo and len(operation.doing) < operation.at_once:
+            name, step = operation.todo.popleft()
+            if name not in self.instances:
+                operation.total -= 1
+                continue
+            self._begin_step(now, operation, name, step)
+            self._check_step(now, operation, name)
+
+    def _begin_step(self, now: float, operation: Operation, name: str, step: Step) -> None:
+        instance = self.instances[name]
+        generation = 0
+        deadline = math.inf
+        if step is Step.RELOAD and (instance.current is None or instance.current.phase is not Phase.READY):
+            step = Step.REPLACE  # it can't be told anything; a new process reads what is new
+        if step is Step.REPLACE and not instance.wanted:
+            operation.total -= 1  # stopped on purpose: the next start reads what is new
+            return
+        if step is Step.START:
+            self._want(now, instance)
+        elif step in (Step.STOP, Step.REMOVE):
+            self._unwant(now, instance)
+            instance.removed = step is Step.REMOVE
+        elif step is Step.REPLACE:
+            generation = self._replace(now, instance)
+        elif instance.current is not None:
+            generation = instance.current.generation
+            deadline = now + self.policy.reload_within
+            self._out.append(Tell(name, generation, How.RELOAD))
+        operation.doing[name] = (step, generation, deadline)
+
+    def _want(self, now: float, instance: Instance) -> None:
+        instance.wanted = True
+        instance.removed = False
+        if instance.failed or (instance.current is None and instance.due is None):
+            instance.failed = False
+            instance.crashes.clear()
+            instance.quick = 0
+            instance.due = now
+
+    def _unwant(self, now: float, instance: Instance) -> None:
+        instance.wanted = instance.failed = instance.crashed = False
+        instance.due = None
+        for process in instance.processes:
+            self._end(now, process, ASKED, instance.name)
+
+    def _replace(self, now: float, instance: Instance) -> int:
+        """Start a fresh process beside the current one; returns the generation that is to be ready."""
+        if instance.current is None:
+            self._want(now, instance)
+            instance.due = now
+            return instance.generation + 1
+        if instance.fresh is not None:
+            return instance.fresh.generation
+        if instance.current.phase is not Phase.READY:
+            # One that is starting may have read what is old, and has nothing to finish.
+            self._end(now, instance.current, REPLACED, instance.name)
+            return instance.generation + 1
+        instance.fresh = self._spawn(now, instance)
+        return instance.fresh.generation
+
+    def _check_step(self, now: float, operation: Operation, name: str) -> None:
+        """Whether an operation is through with an instance."""
+        if name not in operation.doing:
+            return
+        step, generation, deadline = operation.doing[name]
+        instance = self.instances.get(name)
+        if instance is None:
+            self._step_done(operation, name, None if step in (Step.REMOVE, Step.STOP) else f"{name}: removed")
+        elif step in (Step.STOP, Step.REMOVE):
+            if not instance.processes:
+                if instance.removed:
+                    del self.instances[name]
+                self._out.append(Release(name))
+                self._step_done(operation, name, f"{name}: started again" if instance.wanted else None)
+        elif not instance.wanted:
+            self._step_done(operation, name, f"{name}: stopped meanwhile")
+        elif instance.failed:
+            self._step_done(operation, name, f"{name}: failed: {instance.reason}")
+        elif step is Step.RELOAD:
+            if instance.find(generation) is None:
+                self._step_done(operation, name, f"{name}: ended during the reload")
+            elif now >= deadline:
+                within = self.policy.reload_within
+                self._step_done(operation, name, f"{name}: no word on the reload within {within:g} s")
+        else:
+            current = instance.current
+            ready = current is not None and current.phase is Phase.READY and current.generation >= generation
+            if ready and not any(old < generation for old in instance.leaving):
+                self._step_done(operation, name, None)
+
+    @staticmethod
+    def _step_done(operation: Operation, name: str, fault: str | None) -> None:
+        operation.doing.pop(name, None)
+        if fault is None:
+            operation.done += 1
+        else:
+            operation.faults.append(fault)
+
+    def _step_failed(self, name: str, generation: int, why: str) -> None:
+        """A process that was never ready has ended: whoever waits for just this one has failed."""
+        for operation in self._rolling:
+            step = operation.doing.get(name)
+            if step is not None and step[:2] == (Step.REPLACE, generation):
+                self._step_done(operation, name, f"{name}: the fresh process {why}")
+
+    # ---- starting ------------------------------------------------------------------------
+
+    def _spawn(self, now: float, instance: Instance) -> Process:
+        instance.generation += 1
+        self._out.append(Spawn(instance.name, instance.generation))
+        return Process(instance.generation, now, now + self.policy.ready_within)
+
+    def _start_due(self, now: float) -> None:
+        """Start what is due, the longest due first, but only so many at a time."""
+        if self.ending:
+            return
+        due = [(i.due, i.name) for i in self.instances.values() if i.due is not None and i.due <= now]
+        waiting = sorted(due, key=lambda pair: pair[0])  # stable: of equals, as the file has them
+        if not waiting:
+            return
+        starting = sum(p.phase is Phase.STARTING for i in self.instances.values() for p in i.processes)
+        for _, name in waiting[: max(0, self.policy.start_at_once - starting)]:
+            instance = self.instances[name]
+            instance.due = None
+            if instance.current is not None:
+                continue
+            if instance.crashed:
+                instance.crashed = False
+                instance.restarts += 1
+            instance.current = self._spawn(now, instance)
+
+    def _note(self, now: float, instance: Instance) -> None:
+        state = instance.state
+        if state is instance.shown:
+            return
+        instance.shown, instance.since = state, now
+        bad = state in (State.FAILED, State.BUSY)
+        text = f"generation {instance.generation}" if state is not State.FAILED else instance.reason
+        self._out.append(Notice(instance.name, state.value, text, bad))
+
+    # ---- what can be seen ----------------------------------------------------------------
+
+    def view(self, now: float, name: str) -> dict[str, Any]:
+        """One instance's state as plain values; `since` is how many seconds ago it began."""
+        instance = self.instances[name]
+        current = instance.current
+        return {
+            "name": name, "state": instance.state.value, "since": round(now - instance.since, 3),
+            "generation": current.generation if current else instance.generation, "restarts": instance.restarts,
+            "last_exit": str(instance.last_exit) if instance.last_exit else None,
+            "reason": instance.reason or None, "next_start": round(instance.due - now, 3) if instance.due else None,
+            "processes": len(instance.processes),
+        }
