--- /dev/null
+++ b/cometusher/cli.py
@@ -0,0 +1,92 @@
+"""The command line; each command imports what it needs when it is called."""
+
+from __future__ import annotations
+
+import argparse
+import sys
+from pathlib import Path
+
+from cometusher.config import ConfigError
+
+FLEET = {
+    "start": "become the supervisor and start the instances; with one running, start those named",
+    "status": "show every instance: state, pid, restarts, last exit, memory, requests",
+    "reload": "read the file again and bring the instances to it, a few at a time",
+    "restart": "replace instances a few at a time; a fresh process is ready before the old one ends",
+    "stop": "stop those named, or all and the supervisor",
+}
+
+
+def _command(
+    commands: argparse._SubParsersAction[argparse.ArgumentParser], name: str, text: str, example: str
+) -> argparse.ArgumentParser:
+    return commands.add_parser(name, help=text, description=text, epilog=f"example: cometusher {example}")
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """All commands and their options."""
+    parser = argparse.ArgumentParser(
+        prog="cometusher", description="A load-balancing proxy. Without arguments: one proxy, from LB_CONFIG.",
+        epilog="example: cometusher demo",
+    )
+    commands = parser.add_subparsers(dest="command", required=True, metavar="COMMAND")
+    demo = _command(commands, "demo", "a whole installation on loopback, made of stand-ins", "demo --seconds 10")
+    demo.add_argument("--seconds", type=float, default=0.0, metavar="N", help="end after N seconds (default: Ctrl-C)")
+    text = "read and check configuration files; nothing is started"
+    check = _command(commands, "check", text, "check deploy/fleet.toml")
+    check.add_argument("files", nargs="+", metavar="FILE")
+    fleet = _command(commands, "fleet", "run many instances under one supervisor", "fleet start -c deploy/fleet.toml")
+    actions = fleet.add_subparsers(dest="action", required=True, metavar="ACTION")
+    for name, text in FLEET.items():
+        action = _command(actions, name, text, f"fleet {name} -c deploy/fleet.toml")
+        action.add_argument("-c", "--config", required=True, metavar="FILE", help="the fleet's file")
+        action.add_argument("--json", action="store_true", help="answer with one line of JSON")
+        if name == "reload":
+            action.set_defaults(names=[])
+        else:
+            action.add_argument("names", nargs="*", default=[], metavar="NAME")
+        if name == "start":
+            action.add_argument("--daemon", action="store_true", help="run in the background; return when ready")
+    return parser
+
+
+def _check(files: list[str]) -> int:
+    from cometusher.fleet.spec import read_spec
+
+    for name in files:
+        spec = read_spec(Path(name))
+        print(f"{name}: good; {len(spec.instances)} instances")
+    return 0
+
+
+def _demo(seconds: float) -> int:
+    from cometusher import demo
+
+    return demo.main(seconds)
+
+
+def _fleet(options: argparse.Namespace) -> int:
+    from cometusher.fleet import commands
+
+    return commands.fleet(options)
+
+
+def main(arguments: list[str]) -> int:
+    """Returns the exit code: 0 done, 1 it could not be done, 2 bad usage or configuration."""
+    if arguments == ["instance"]:  # what a supervisor executes; not for people
+        from cometusher.fleet import instance
+
+        return instance.main()
+    try:
+        options = build_parser().parse_args(arguments)
+    except SystemExit as end:
+        return int(end.code or 0)
+    try:
+        if options.command == "check":
+            return _check(options.files)
+        if options.command == "demo":
+            return _demo(options.seconds)
+        return _fleet(options)
+    except ConfigError as fault:
+        print(f"cometusher: {fault}".replace("\n", " "), file=sys.stderr)
+        return 2
--- /dev/null
+++ b/cometusher/fleet/collector.py
@@ -0,0 +1,230 @@
+"""Collecting what instances say, and writing it on without ever waiting for whoever reads it.
+
+Each instance has a pipe of its own, which does not block it either: where it is full the instance drops, and
+counts. Here records are read as they come, named after their instance, and written to the one target. A target
+that takes nothing (a full disk, a pipe that nobody reads) fills a bounded store; what does not fit is dropped and
+counted, and the count is written as a record when the target takes records again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import logging
+import os
+import select
+import stat
+import time
+from collections import deque
+from typing import Any
+
+import orjson
+
+from cometusher import logs
+from cometusher.fleet.spec import LogSpec
+
+STORE = 1024 * 1024  # bytes that wait for the target, at most
+MAX_LINE = 16 * 1024  # bytes of a line that an instance writes by itself
+READ = 64 * 1024  # bytes taken from one instance at one wake-up
+RETRY = 0.2  # seconds between looks at a target that took nothing
+REOPEN = 1.0  # seconds between tries to open one that could not be opened
+
+
+class Target:
+    """Where records end: standard error or a file; rotated by size, reopened on demand."""
+
+    def __init__(self, spec: LogSpec) -> None:
+        self.spec = spec
+        self._file = -1
+        self._regular = False
+        self._size = 0
+        self._opened_at = 0.0
+        self._poll = select.poll()
+        if spec.target == "stderr":
+            self._use(os.dup(2))
+        else:
+            self.reopen()
+
+    def _use(self, descriptor: int) -> None:
+        self._file = descriptor
+        info = os.fstat(descriptor)
+        self._regular = stat.S_ISREG(info.st_mode)
+        self._size = info.st_size
+        self._poll = select.poll()
+        self._poll.register(descriptor, select.POLLOUT)
+
+    def reopen(self) -> None:
+        """Open the file anew, for one that was moved away; raises nothing."""
+        if self.spec.target == "stderr":
+            return
+        self._opened_at = time.monotonic()
+        # Not blocking: opening a FIFO that nobody reads would wait for a reader.
+        flags = os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC | os.O_NONBLOCK
+        with contextlib.suppress(OSError):
+            fresh = os.open(self.spec.target, flags, 0o640)
+            self.close()
+            self._use(fresh)
+
+    def close(self) -> None:
+        """Close it."""
+        if self._file >= 0:
+            os.close(self._file)
+            self._file = -1
+
+    def write(self, data: bytes) -> int:
+        """Write what goes without waiting; returns how many bytes went. At most a pipe's piece at a time."""
+        if self._file < 0:
+            if time.monotonic() - self._opened_at < REOPEN:
+                return 0
+            self.reopen()
+            if self._file < 0:
+                return 0
+        try:
+            if self._regular:
+                self._rotate(len(data))
+            else:
+                # A pipe or a terminal that others write to as well, so it is not set to non-blocking: ask, and
+                # write no more than goes in one piece when it has room (POSIX, PIPE_BUF).
+                data = data[: logs.MAX_RECORD]
+                if not any(event & select.POLLOUT for _, event in self._poll.poll(0)):
+                    return 0
+            count = os.write(self._file, data)
+        except BlockingIOError:
+            return 0
+        except OSError:
+            if self.spec.target != "stderr" and not self._regular:
+                self.close()  # its reader went away: the next one is opened for
+            return 0
+        self._size += count
+        return count
+
+    def _rotate(self, coming: int) -> None:
+        spec = self.spec
+        if not self._size or self._size + coming <= spec.max_bytes:
+            return
+        names = [spec.target, *(f"{spec.target}.{i}" for i in range(1, spec.keep + 1))]
+        if spec.keep == 0:
+            os.ftruncate(self._file, 0)
+        for older, newer in zip(names[:0:-1], names[-2::-1], strict=True):
+            with contextlib.suppress(FileNotFoundError):
+                os.replace(newer, older)
+        self._size = 0
+        self.reopen()
+
+
+class Sink:
+    """Renders records and hands them to the target; bounded, counting, and never waiting."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, target: Target, who: str) -> None:
+        self._loop = loop
+        self.target = target
+        self._who = who
+        self._store: deque[bytes] = deque()
+        self._held = 0
+        self._retry: asyncio.TimerHandle | None = None
+        self.dropped = 0  # since the last record about it
+        self.dropped_total = 0
+
+    def write(self, values: dict[str, Any]) -> None:
+        """Take one record."""
+        if self.dropped and self._held < STORE // 2:
+            count, self.dropped = self.dropped, 0
+            self.write({
+                "ts": time.time(), "level": "warning", "instance": self._who, "subsystem": "log", "event": "dropped",
+                "text": f"{count} records were dropped: the log target took none",
+            })
+        line = logs.RENDER[self.target.spec.form](values) + b"\n"
+        if self._held + len(line) > STORE:
+            self.drop(1)
+            return
+        self._store.append(line)
+        self._held += len(line)
+        if self._retry is None:
+            self.flush()
+
+    def drop(self, count: int) -> None:
+        """Count records that were lost."""
+        self.dropped += count
+        self.dropped_total += count
+
+    def flush(self) -> None:
+        """Write on what waits, as far as it goes."""
+        self._retry = None
+        while self._store:
+            line = self._store[0]
+            count = self.target.write(line)
+            self._held -= count
+            if count < len(line):
+                self._store[0] = line[count:]
+                self._retry = self._loop.call_later(RETRY, self.flush)
+                return
+            self._store.popleft()
+
+    def close(self) -> None:
+        """The end: one last try."""
+        if self._retry is not None:
+            self._retry.cancel()
+        self.flush()
+        if self._retry is not None:
+            self._retry.cancel()
+        self.target.close()
+
+
+class SinkHandler(logging.Handler):
+    """The supervisor's own records."""
+
+    def __init__(self, sink: Sink, who: str) -> None:
+        super().__init__()
+        self._sink = sink
+        self._who = who
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        try:
+            values = logs.as_fields(record, getattr(record, "instance", None) or self._who)
+            self._sink.write(values)
+        except Exception:
+            self.handleError(record)
+
+
+class Stream:
+    """What one process says: structured records, or plain lines of whatever it runs."""
+
+    def __init__(self, sink: Sink, name: str, descriptor: int) -> None:
+        self._sink = sink
+        self._name = name
+        self._descriptor = descriptor
+        self._rest = b""
+
+    def read(self) -> bool:
+        """Take what has come, up to a bound; False at its end."""
+        try:
+            data = os.read(self._descriptor, READ)
+        except BlockingIOError:
+            return True
+        except OSError:
+            data = b""
+        *lines, self._rest = (self._rest + data).split(b"\n")
+        if len(self._rest) > MAX_LINE or (not data and self._rest):
+            lines.append(self._rest[:MAX_LINE])
+            self._rest = b""
+        for line in lines:
+            if line.strip():
+                self._sink.write(self._record(line))
+        return bool(data)
+
+    def _record(self, line: bytes) -> dict[str, Any]:
+        plain: dict[str, Any] = {
+            "ts": time.time(), "level": "info", "instance": self._name, "subsystem": "output", "event": "line",
+        }
+        try:
+            values = orjson.loads(line)
+            ts = float(values["ts"])
+            text = str(values["text"])
+        except (orjson.JSONDecodeError, KeyError, TypeError, ValueError):
+            return plain | {"text": line.decode(errors="backslashreplace")}
+        record: dict[str, Any] = {"ts": ts, "level": str(values.get("level", "info")), "instance": self._name}
+        record |= {key: str(values[key]) for key in ("subsystem", "event", "request") if key in values}
+        if isinstance(values.get("dropped"), int):
+            self._sink.drop(values["dropped"])
+        return {"subsystem": "output", "event": "line"} | record | {"text": text}
--- /dev/null
+++ b/cometusher/fleet/commands.py
@@ -0,0 +1,143 @@
+"""The commands `cometusher fleet ...`: start, status, reload, restart, stop."""
+
+from __future__ import annotations
+
+import argparse
+import os
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from cometusher.fleet.control import ControlError, NoSupervisor, ask
+from cometusher.fleet.identity import Identity
+from cometusher.fleet.spec import FleetSpec, Place, read_place, read_spec
+from weldroute.fleet import Done
+
+ANSWER = 10.0  # seconds for an answer that needs no work
+LONGEST = 3600.0  # seconds for an operation on the whole fleet
+
+
+def _say(code: int, text: str) -> None:
+    stream = sys.stdout if code == 0 else sys.stderr
+    print(f"cometusher: {text}".replace("\n", " "), file=stream)
+
+
+def _print(values: dict[str, Any]) -> None:
+    sys.stdout.write(orjson.dumps(values).decode() + "\n")
+
+
+def fleet(options: argparse.Namespace) -> int:
+    """One command; returns the exit code. Raises ConfigError.
+
+    Only a start reads the whole file: a fleet can be looked at and stopped whatever has become of the rest.
+    """
+    path = Path(options.config)
+    if options.action == "start":
+        return _start(read_spec(path), options)
+    actions: dict[str, Callable[[Place, argparse.Namespace], int]] = {"status": _status, "stop": _stop}
+    return actions.get(options.action, _operate)(read_place(path), options)
+
+
+def _operate(place: Place, options: argparse.Namespace) -> int:
+    try:
+        ask(place.control, "status", ANSWER, names=options.names)  # a supervisor that hangs is told at once
+        answer = ask(place.control, options.action, LONGEST, names=options.names)
+    except (NoSupervisor, ControlError) as fault:
+        if options.json:
+            _print({"ok": False, "error": str(fault)})
+        _say(1, str(fault))
+        return 1
+    _print(answer) if options.json else _say(0, str(answer.get("text", "done")))
+    return 0
+
+
+def _start(spec: FleetSpec, options: argparse.Namespace) -> int:
+    unknown = [name for name in options.names if name not in spec.instances]
+    if unknown:
+        _say(1, f"{spec.place.path}: no such instance: {', '.join(unknown)}")
+        return 1
+    if options.names:
+        try:
+            ask(spec.place.control, "status", ANSWER)
+        except NoSupervisor:
+            pass  # then this becomes the supervisor
+        except ControlError as fault:
+            _say(1, str(fault))
+            return 1
+        else:
+            return _operate(spec.place, options)
+    return _supervise(spec, options)
+
+
+def _supervise(spec: FleetSpec, options: argparse.Namespace) -> int:
+    from cometusher.fleet import supervisor
+    from cometusher.fleet.daemon import daemonize
+
+    report: Callable[[int, str], None] = _say
+    if options.daemon:
+        if spec.log.target == "stderr":
+            _say(2, f"{spec.place.path}: log.target: a daemon has no standard error; name a file")
+            return 2
+        report = daemonize(_say)
+
+    def started(done: Done) -> None:
+        if options.daemon or not done.ok:
+            report(0 if done.ok else 1, done.text)
+
+    try:
+        supervisor.run(spec, options.names, dict(os.environ), started)
+    except (supervisor.CannotStart, ValueError) as fault:
+        report(1, str(fault))
+        return 1
+    return 0
+
+
+def _status(place: Place, options: argparse.Namespace) -> int:
+    try:
+        answer = ask(place.control, "status", ANSWER, names=options.names)
+    except (NoSupervisor, ControlError) as fault:
+        if options.json:
+            _print({"ok": False, "error": str(fault)})
+        _say(1, str(fault))
+        return 1
+    if options.json:
+        _print(answer)
+        return 0
+    print(f"{answer['fleet']}: supervisor {answer['pid']}", *answer["operations"], sep="\n  ")
+    columns = "{:<20} {:<9} {:>7} {:>8} {:>8}  {:<24} {:<12} {:>7} {:>5} {:>9}"
+    print(columns.format(
+        "name", "state", "pid", "since", "restarts", "last exit", "version", "MB", "fds", "requests"
+    ))
+    for row in answer["instances"]:
+        requests = sum(n for name, n in row["requests"].items() if name != "open")
+        print(columns.format(
+            row["name"], row["state"], row["pid"] or "-", f"{row['since']:.0f}s", row["restarts"],
+            row["last_exit"] or "-", row["version"] or "-", f"{row['memory'] / 2**20:.1f}", row["descriptors"],
+            requests,
+        ))
+        if row["state"] in ("failed", "waiting") and row["reason"]:
+            print(f"  {row['reason']}")
+    return 0
+
+
+def _stop(place: Place, options: argparse.Namespace) -> int:
+    if options.names:
+        return _operate(place, options)
+    try:
+        answer = ask(place.control, "stop", ANSWER)
+    except (NoSupervisor, ControlError) as fault:
+        _say(1, str(fault))
+        return 1
+    who = Identity.of(int(answer["pid"]))
+    deadline = time.monotonic() + ANSWER + 2.0 * float(answer["within"])
+    while who is not None and who.alive():
+        if time.monotonic() > deadline:
+            _say(1, f"the supervisor, pid {who.pid}, has not ended")
+            return 1
+        time.sleep(0.02)
+    _print({"ok": True, "text": "stopped"}) if options.json else _say(0, "stopped")
+    return 0
--- /dev/null
+++ b/cometusher/fleet/control.py
@@ -0,0 +1,142 @@
+"""The control socket: one request a connection, as a JSON line, and one JSON line back.
+
+    {"version":1,"command":"status","names":["a"]}
+    {"version":1,"ok":true,...}        or        {"version":1,"ok":false,"error":"..."}
+
+The socket lies in the state directory with mode 0600, and only root and the supervisor's own user are listened
+to. A request is bounded in size and in time, and so is the number of connections.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import socket
+import struct
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+VERSION = 1
+MAX_REQUEST = 64 * 1024  # bytes
+REQUEST_TIME = 2.0  # seconds for a whole request
+MOST = 32  # connections at once
+_UCRED = "3i"  # struct ucred of unix(7): pid, uid, gid
+
+Handler = Callable[[str, dict[str, Any]], Awaitable[dict[str, Any]]]
+
+
+class ControlError(Exception):
+    """A request that can't be served; the text is the answer."""
+
+
+def peer_uid(sock: socket.socket) -> int:
+    """The user at the other end (SO_PEERCRED of unix(7))."""
+    raw = sock.getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize(_UCRED))
+    return int(struct.unpack(_UCRED, raw)[1])
+
+
+class ControlServer:
+    """Serves requests with a handler that is given the command and the whole request."""
+
+    def __init__(self, path: Path, handler: Handler, uids: frozenset[int] | None = None) -> None:
+        self._path = path
+        self._handler = handler
+        self._uids = uids if uids is not None else frozenset({0, os.geteuid()})
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    async def start(self) -> None:
+        """Listen; whoever holds the state directory's lock may take the place of a socket that was left."""
+        with contextlib.suppress(FileNotFoundError):
+            self._path.unlink()
+        sock = socket.socket(socket.AF_UNIX, socket.SOCK_STREAM | socket.SOCK_CLOEXEC)
+        before = os.umask(0o177)
+        try:
+            sock.bind(str(self._path))
+        finally:
+            os.umask(before)
+        self._server = await asyncio.start_unix_server(self._take, sock=sock, limit=MAX_REQUEST)
+
+    async def stop(self) -> None:
+        """Let answers that are under way go out, and close."""
+        if self._server is not None:
+            self._server.close()
+        with contextlib.suppress(FileNotFoundError):
+            self._path.unlink()
+        if self._tasks:
+            await asyncio.wait(self._tasks, timeout=1.0)
+
+    async def _take(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        crowded = len(self._tasks) >= MOST
+        self._tasks.add(task)
+        try:
+            answer = {"ok": False, "error": "too many control connections"} if crowded else await self._answer(
+                reader, writer
+            )
+            if answer is not None:
+                writer.write(orjson.dumps({"version": VERSION} | answer) + b"\n")
+                async with asyncio.timeout(REQUEST_TIME):
+                    await writer.drain()
+        except (OSError, TimeoutError):
+            pass  # it went away, or does not read
+        finally:
+            self._tasks.discard(task)
+            writer.close()
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> dict[str, Any] | None:
+        if peer_uid(writer.get_extra_info("socket")) not in self._uids:
+            return {"ok": False, "error": "not your fleet"}
+        try:
+            async with asyncio.timeout(REQUEST_TIME):
+                line = await reader.readuntil(b"\n")
+        except asyncio.LimitOverrunError:
+            return {"ok": False, "error": f"a request may have {MAX_REQUEST} bytes"}
+        except TimeoutError:
+            return {"ok": False, "error": f"no whole request within {REQUEST_TIME:g} s"}
+        except asyncio.IncompleteReadError:
+            return None
+        try:
+            request = orjson.loads(line)
+        except orjson.JSONDecodeError as fault:
+            return {"ok": False, "error": f"not JSON: {fault}"}
+        if not isinstance(request, dict) or not isinstance(request.get("command"), str):
+            return {"ok": False, "error": "command: missing"}
+        if request.get("version") != VERSION:
+            return {"ok": False, "error": f"version {request.get('version')!r} is not spoken here; {VERSION} is"}
+        try:
+            return {"ok": True} | await self._handler(request["command"], request)
+        except ControlError as fault:
+            return {"ok": False, "error": str(fault)}
+
+
+class NoSupervisor(Exception):
+    """Nobody answers at a control socket."""
+
+
+def ask(path: Path, command: str, timeout: float, **values: Any) -> dict[str, Any]:
+    """One request from a command line; raises NoSupervisor or ControlError. `timeout` in seconds."""
+    with socket.socket(socket.AF_UNIX, socket.SOCK_STREAM) as sock:
+        sock.settimeout(timeout)
+        try:
+            sock.connect(str(path))
+            sock.sendall(orjson.dumps({"version": VERSION, "command": command} | values) + b"\n")
+            with sock.makefile("rb") as stream:
+                line = stream.readline()
+        except TimeoutError:
+            raise ControlError(f"{path}: the supervisor did not answer within {timeout:g} s") from None
+        except (FileNotFoundError, ConnectionRefusedError):
+            raise NoSupervisor(f"{path}: no supervisor runs") from None
+        except OSError as fault:
+            raise ControlError(f"{path}: {fault.strerror}") from None
+    if not line:
+        raise ControlError(f"{path}: the supervisor ended before it answered")
+    answer: dict[str, Any] = orjson.loads(line)
+    if not answer.get("ok"):
+        raise ControlError(str(answer.get("error", "refused")))
+    return answer
--- /dev/null
+++ b/cometusher/fleet/daemon.py
@@ -0,0 +1,55 @@
+"""Becoming a daemon, as daemon(7) describes it for programs that no service manager starts."""
+
+from __future__ import annotations
+
+import os
+import sys
+from collections.abc import Callable
+
+MAX_WORD = 4096  # bytes of the daemon's word on its start
+
+
+def daemonize(report: Callable[[int, str], None]) -> Callable[[int, str], None]:
+    """Fork twice, and return in the daemon only.
+
+    The daemon has a session of its own and can't get a terminal again, works in `/`, creates files that others
+    can't write, and has its streams at /dev/null. It returns what tells the outcome of its start (exit code and
+    text) to the process that was called; that one waits for it, hands it to `report`, and ends with the code.
+    """
+    reader, writer = os.pipe()
+    if (first := os.fork()) > 0:
+        os.close(writer)
+        os.waitpid(first, 0)
+        _await_word(reader, report)
+    os.close(reader)
+    os.setsid()
+    if os.fork() > 0:
+        os._exit(0)
+    os.chdir("/")
+    os.umask(0o027)
+    null = os.open(os.devnull, os.O_RDWR)
+    for number in range(3):
+        os.dup2(null, number)
+    os.close(null)
+
+    def tell(code: int, text: str) -> None:
+        nonlocal writer
+        if writer >= 0:
+            os.write(writer, f"{code} {text}".encode()[:MAX_WORD])
+            os.close(writer)
+            writer = -1
+
+    return tell
+
+
+def _await_word(reader: int, report: Callable[[int, str], None]) -> None:
+    word = b""
+    while data := os.read(reader, MAX_WORD):
+        word += data
+    code, _, text = word.decode(errors="replace").partition(" ")
+    if not code.isdigit():
+        code, text = "1", "the daemon ended before it was ready; its log tells more"
+    report(int(code), text)
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(int(code))
--- /dev/null
+++ b/cometusher/fleet/identity.py
@@ -0,0 +1,156 @@
+"""Who a process is, and the lock that makes one supervisor the only one of its state directory.
+
+A pid alone names nobody: it is used again. A process is named by its pid, its start time (clock ticks since boot,
+proc(5), field 22 of stat), the boot id and its user; all have to fit before a number out of a file is believed.
+The lock is a POSIX record lock (fcntl(2)): the kernel drops it with its process, children don't inherit it, and
+it tells who holds it. The pid file is for people; nothing is decided by it.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+import signal
+import struct
+import time
+from dataclasses import asdict, dataclass
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from cometusher.fleet.spec import write_private
+
+_FLOCK = "hhqqi4x"  # struct flock of Linux on 64 bits: type, whence, start, length, pid
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+def boot_id() -> str:
+    """Names this boot of the machine."""
+    return Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+
+
+@dataclass(frozen=True, slots=True)
+class Stat:
+    """What proc(5) tells of a process."""
+
+    state: str
+    cpu: float  # seconds of processor time
+    started: int  # ticks since boot
+
+
+def read_stat(pid: int) -> Stat | None:
+    """None if there is no such process."""
+    try:
+        text = Path(f"/proc/{pid}/stat").read_text()
+    except OSError:
+        return None
+    rest = text[text.rindex(")") + 2 :].split()  # the name may hold anything, also brackets and spaces
+    return Stat(rest[0], (int(rest[11]) + int(rest[12])) / TICKS, int(rest[19]))
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Exactly one process."""
+
+    pid: int
+    started: int
+    boot: str
+    uid: int
+
+    @staticmethod
+    def of(pid: int) -> Identity | None:
+        """The identity of a process that is there now."""
+        stat = read_stat(pid)
+        try:
+            uid = os.stat(f"/proc/{pid}").st_uid
+        except OSError:
+            return None
+        return Identity(pid, stat.started, boot_id(), uid) if stat is not None else None
+
+    @staticmethod
+    def read(value: Any) -> Identity | None:
+        """Out of a file; None for anything that is not whole."""
+        if not isinstance(value, dict):
+            return None
+        pid, started, boot, uid = (value.get(key) for key in ("pid", "started", "boot", "uid"))
+        numbers = [n for n in (pid, started, uid) if isinstance(n, int) and not isinstance(n, bool) and n >= 0]
+        if len(numbers) != 3 or not isinstance(boot, str) or numbers[0] < 2:
+            return None
+        return Identity(numbers[0], numbers[1], boot, numbers[2])
+
+    def as_values(self) -> dict[str, Any]:
+        """For a file."""
+        return asdict(self)
+
+    def alive(self) -> bool:
+        """Whether this very process is there, and no zombie."""
+        stat = read_stat(self.pid)
+        return stat is not None and stat.state not in "ZX" and Identity.of(self.pid) == self
+
+    def signal(self, number: int) -> bool:
+        """Signal this very process or nobody; tells whether it was there.
+
+        The descriptor is taken first and the identity looked at after: what the descriptor names can't change.
+        """
+        try:
+            descriptor = os.pidfd_open(self.pid)
+        except OSError:
+            return False
+        try:
+            if not self.alive():
+                return False
+            signal.pidfd_send_signal(descriptor, number)
+        except OSError:
+            return False
+        finally:
+            os.close(descriptor)
+        return True
+
+
+class Held(Exception):
+    """Another one has what is wanted; the text says who."""
+
+
+class StateLock:
+    """The lock of a state directory, held until the process ends."""
+
+    def __init__(self, lock_file: Path, pid_file: Path) -> None:
+        self._lock_file = lock_file
+        self._pid_file = pid_file
+        self._descriptor = -1
+
+    def hold(self) -> None:
+        """Take the lock and say so in the pid file; raises Held, or OSError."""
+        self._descriptor = os.open(self._lock_file, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC | os.O_NOFOLLOW, 0o600)
+        try:
+            fcntl.lockf(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except (BlockingIOError, PermissionError):
+            raise Held(self._holder()) from None
+        identity = Identity.of(os.getpid())
+        assert identity is not None
+        write_private(self._pid_file, orjson.dumps(identity.as_values() | {"since": time.time()}) + b"\n")
+
+    def _holder(self) -> str:
+        """Who holds it: the kernel knows, whatever stands in the pid file."""
+        asked = struct.pack(_FLOCK, fcntl.F_WRLCK, os.SEEK_SET, 0, 0, 0)
+        pid = int(struct.unpack(_FLOCK, fcntl.fcntl(self._descriptor, fcntl.F_GETLK, asked))[4])
+        text = f"{self._lock_file.parent} is held by another supervisor"
+        if pid <= 0:
+            return text
+        since = ""
+        with contextlib.suppress(OSError, ValueError, TypeError):
+            values = orjson.loads(self._pid_file.read_bytes())
+            written = Identity.read(values)
+            if written is not None and written.pid == pid and written.alive():
+                since = time.strftime(", since %Y-%m-%d %H:%M:%S", time.localtime(float(values["since"])))
+        return f"{text}, pid {pid}{since}"
+
+    def release(self) -> None:
+        """Give it back; the lock file stays, for a new one would not be the one that others wait on."""
+        if self._descriptor >= 0:
+            with contextlib.suppress(OSError):
+                self._pid_file.unlink()
+            os.close(self._descriptor)
+            self._descriptor = -1
--- /dev/null
+++ b/cometusher/fleet/instance.py
@@ -0,0 +1,94 @@
+"""An instance's own side of its supervisor: the status pipe, the lifeline, and the start under them.
+
+The descriptors have fixed numbers: 3 the listener (as LISTEN_FDS has it), 4 the status pipe to write to, 5 the
+lifeline to read from. The status pipe carries JSON lines: `{"event":"ready"}`, `{"event":"beat",...}` every
+second, `{"event":"reloaded","why":null}`, `{"event":"stopping"}`. The lifeline carries nothing: it ends when the
+supervisor does, however it does, and an instance then ends in order, as on SIGTERM.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import socket
+import sys
+from collections import deque
+from typing import Any
+
+import orjson
+import uvloop
+
+from cometusher import config, logs, service
+from cometusher.proxy import Proxy
+
+LISTENER, STATUS, LIFELINE = 3, 4, 5
+BEAT = 1.0  # seconds between signs of life
+MOST_WAITING = 64  # lines that wait for room in the pipe
+COUNTED = ("served", "refused", "failed", "malformed", "left")
+
+
+class Channel:
+    """The way to the supervisor; a `service.Parent`."""
+
+    def __init__(self, name: str, generation: str) -> None:
+        self._mark = f"{name}/{generation}".encode()
+        self._lines: deque[bytes] = deque(maxlen=MOST_WAITING)
+        self._proxy: Proxy | None = None
+        os.set_blocking(STATUS, False)
+
+    def _say(self, **values: Any) -> None:
+        """Write a line; one that finds no room waits for the next beat, for the supervisor may be paused."""
+        self._lines.append(orjson.dumps(values) + b"\n")
+        try:
+            while self._lines:
+                os.write(STATUS, self._lines[0])
+                self._lines.popleft()
+        except OSError:
+            pass  # no room, or no supervisor: the lifeline tells
+
+    def started(self, proxy: Proxy, stop: asyncio.Event) -> None:
+        """Say so, and watch the lifeline from here on."""
+        self._proxy = proxy
+        proxy.mark = [(b"x-instance", self._mark)]
+        loop = asyncio.get_running_loop()
+
+        def orphaned() -> None:
+            loop.remove_reader(LIFELINE)
+            logging.warning("the supervisor is gone; ending in order")
+            stop.set()
+
+        loop.add_reader(LIFELINE, orphaned)
+        self._say(event="ready")
+        self._beat(loop)
+
+    def _beat(self, loop: asyncio.AbstractEventLoop) -> None:
+        loop.call_later(BEAT, self._beat, loop)
+        assert self._proxy is not None
+        tallies = self._proxy.tallies
+        self._say(event="beat", open=self._proxy.open_requests, **{name: tallies.get(name, 0) for name in COUNTED})
+
+    def reloaded(self, why: str | None) -> None:
+        """What came of a reload."""
+        self._say(event="reloaded", why=why)
+
+    def stopping(self) -> None:
+        """Nothing new is taken."""
+        self._say(event="stopping")
+
+
+def main() -> int:
+    """One proxy under a supervisor; returns the exit code."""
+    # Guards against ending on a reload that comes before there is anything to reload.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    name = os.environ.get("FLEET_INSTANCE", "?")
+    logs.to_pipe(sys.stderr.fileno(), name)
+    try:
+        settings = config.load(os.environ)
+    except config.ConfigError as fault:
+        logging.error("%s", fault)
+        return 2
+    listener = socket.socket(fileno=LISTENER)
+    uvloop.run(service.serve(settings, listener, Channel(name, os.environ.get("FLEET_GENERATION", "0"))))
+    return 0
--- /dev/null
+++ b/cometusher/fleet/process.py
@@ -0,0 +1,168 @@
+"""Starting one process of an instance, and what the supervisor keeps of it.
+
+Two ways: `fork` of the supervisor, which has everything imported already, and `exec` of a new interpreter (or of
+an instance's own command). Both end in the same descriptors, limits and environment. The supervisor has one
+thread, always: a fork copies no other, and locks that others hold would never be released.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import fcntl
+import os
+import resource
+import secrets
+import signal
+import socket
+import sys
+import traceback
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any, NoReturn
+
+import orjson
+
+from cometusher.fleet import instance
+from cometusher.fleet.identity import Identity
+from cometusher.fleet.spec import FleetSpec, InstanceSpec, write_private
+
+ROOT = Path(__file__).resolve().parent.parent.parent
+HIGH = 64  # descriptors are moved above this before they get their numbers
+FAULT = 70  # exit code of a process that could not get ready to run (EX_SOFTWARE, sysexits.h)
+OURS = ("LB_", "FLEET_", "LISTEN_", "WATCHDOG_", "NOTIFY_SOCKET")
+
+
+@dataclass(slots=True)
+class Child:
+    """A process that this supervisor started and has not reaped."""
+
+    name: str
+    generation: int
+    pid: int
+    identity: Identity
+    pidfd: int
+    status: int  # to read from
+    log: int  # to read from
+    lifeline: int  # to hold open
+    version: str
+    figures: dict[str, Any] = field(default_factory=dict)
+    rest: bytes = b""  # of a status line that is not whole
+
+    def signal(self, number: int) -> None:
+        """Signal it; nothing happens if it has ended, for it is not reaped before this object is dropped."""
+        with contextlib.suppress(OSError):
+            signal.pidfd_send_signal(self.pidfd, number)
+
+    def signal_group(self, number: int) -> None:
+        """Signal all that it started and left behind in its group; only while its pid is not reaped."""
+        with contextlib.suppress(OSError):
+            os.killpg(self.pid, number)
+
+    def close(self) -> None:
+        """Close what is held for it."""
+        for descriptor in (self.pidfd, self.status, self.log, self.lifeline):
+            os.close(descriptor)
+
+
+def _environment(spec: FleetSpec, one: InstanceSpec, generation: int) -> dict[str, str]:
+    environ = {k: v for k, v in os.environ.items() if not k.startswith(OURS)}
+    path = [str(ROOT), *filter(None, [environ.get("PYTHONPATH")])]
+    return environ | {
+        "PYTHONPATH": os.pathsep.join(path),
+        "LB_CONFIG": str(spec.place.instance_file(one.name)), "LB_NAME": one.name,
+        "FLEET_INSTANCE": one.name, "FLEET_GENERATION": str(generation), "FLEET_STATUS_FD": str(instance.STATUS),
+        "FLEET_LIFELINE_FD": str(instance.LIFELINE), "LISTEN_FDS": "1", "LISTEN_PID": str(os.getpid()),
+    }
+
+
+def _arrange(descriptors: dict[int, int]) -> None:
+    """Give descriptors their numbers, and close all others: lifelines of other instances among them."""
+    high = {number: fcntl.fcntl(source, fcntl.F_DUPFD, HIGH) for number, source in descriptors.items()}
+    for number, source in high.items():
+        os.dup2(source, number, inheritable=True)
+    for entry in os.listdir("/proc/self/fd"):
+        if int(entry) > max(high):
+            with contextlib.suppress(OSError):  # the listing's own is closed by now
+                os.close(int(entry))
+
+
+def _limit(sockets: int) -> None:
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    wanted = sockets if hard == resource.RLIM_INFINITY else min(sockets, hard)
+    resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, wanted))
+
+
+def _become(
+    spec: FleetSpec, one: InstanceSpec, generation: int, descriptors: dict[int, int], mask: set[int]
+) -> NoReturn:
+    """In the child: leave everything of the supervisor behind, and run; does not return."""
+    code = FAULT
+    try:
+        os.setpgid(0, 0)
+        # A signal that the child gets must not wake up the supervisor through the descriptor that both have.
+        signal.set_wakeup_fd(-1)
+        for number in (signal.SIGTERM, signal.SIGINT, signal.SIGCHLD, signal.SIGUSR1):
+            signal.signal(number, signal.SIG_DFL)
+        for number in (signal.SIGHUP, signal.SIGPIPE):
+            signal.signal(number, signal.SIG_IGN)
+        _arrange(descriptors)
+        _limit(one.sockets)
+        os.umask(0o077)
+        environ = _environment(spec, one, generation)
+        if one.command or spec.spawn == "exec":
+            command = one.command or (sys.executable, "-m", "cometusher", "instance")
+            signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+            os.chdir("/")
+            os.execvpe(command[0], command, environ)
+        os.environ.clear()
+        os.environ.update(environ)
+        signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+        code = instance.main()
+    except BaseException:
+        traceback.print_exc()
+    finally:
+        with contextlib.suppress(Exception):
+            sys.stdout.flush()
+            sys.stderr.flush()
+        # Not sys.exit: the supervisor's own clean-up must not run here.
+        os._exit(code)
+
+
+def spawn(spec: FleetSpec, one: InstanceSpec, generation: int, listener: socket.socket) -> Child:
+    """Start a process; raises OSError."""
+    content = orjson.dumps(one.values | {"seed": secrets.token_hex(8)}, option=orjson.OPT_INDENT_2)
+    write_private(spec.place.instance_file(one.name), content)
+    opened: list[int] = []
+    try:
+        for _ in range(3):
+            opened += os.pipe()
+        status, status_w, log, log_w, lifeline_r, lifeline = opened
+        null = os.open(os.devnull, os.O_RDWR)
+        opened.append(null)
+        # No signal between the fork and the moment when the child has dropped the supervisor's handlers.
+        mask = signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
+        try:
+            pid = os.fork()
+            if pid == 0:
+                _become(
+                    spec, one, generation,
+                    {0: null, 1: log_w, 2: log_w, instance.LISTENER: listener.fileno(), instance.STATUS: status_w,
+                     instance.LIFELINE: lifeline_r},
+                    {int(number) for number in mask},
+                )
+        finally:
+            signal.pthread_sigmask(signal.SIG_SETMASK, mask)
+        pidfd = os.pidfd_open(pid)
+    except OSError:
+        for descriptor in opened:
+            os.close(descriptor)
+        raise
+    for descriptor in (status_w, log_w, lifeline_r, null):
+        os.close(descriptor)
+    for descriptor in (status, log):
+        os.set_blocking(descriptor, False)
+    with contextlib.suppress(OSError):
+        os.setpgid(pid, pid)  # here too: whichever comes first
+    identity = Identity.of(pid)
+    assert identity is not None  # not reaped, so it is there
+    return Child(one.name, generation, pid, identity, pidfd, status, log, lifeline, one.version)
--- a/cometusher/fleet/spec.py
+++ b/cometusher/fleet/spec.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import ipaddress
 import os
 import re
 import stat
@@ -19,6 +20,7 @@
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 MOST = 1024  # instances
+MAX_SOCKET_PATH = 100  # bytes
 RELOADABLE = frozenset({"discovery", "limits", "known"})  # what an instance takes over while it runs
 
 
@@ -62,16 +64,12 @@
 
 
 @dataclass(frozen=True, slots=True)
-class FleetSpec:
-    """A fleet's whole file."""
+class Place:
+    """Where a fleet lives: all that a command needs to reach it."""
 
     name: str
-    path: Path
+    path: Path  # of the file
     state: Path
-    spawn: str  # "fork" from the warmed supervisor, or "exec" of a new interpreter
-    policy: Policy
-    log: LogSpec
-    instances: dict[str, InstanceSpec]
 
     @property
     def lock_file(self) -> Path:
@@ -95,7 +93,18 @@
 
     def instance_file(self, name: str) -> Path:
         """An instance's own configuration."""
-        return self.state / f"{name}.json"
+        return self.state / f"instance-{name}.json"
+
+
+@dataclass(frozen=True, slots=True)
+class FleetSpec:
+    """A fleet's whole file."""
+
+    place: Place
+    spawn: str  # "fork" from the warmed supervisor, or "exec" of a new interpreter
+    policy: Policy
+    log: LogSpec
+    instances: dict[str, InstanceSpec]
 
 
 def _read_policy(table: Table) -> Policy:
@@ -144,9 +153,9 @@
 
 def _read_common(table: Table, base: _Common) -> _Common:
     return _Common(
-        config=table.text("config", base.config or "\0").strip("\0"),
-        discovery=table.text("discovery", base.discovery or "\0").strip("\0"),
-        zone=table.text("zone", base.zone or "\0").strip("\0"),
+        config=table.text("config", base.config),
+        discovery=table.text("discovery", base.discovery),
+        zone=table.text("zone", base.zone),
         tier=table.whole("tier", base.tier, 0),
         memory_mb=table.whole("memory_mb", base.memory_mb, 32, 2**20),
         sockets=table.whole("sockets", base.sockets, 64, 2**20),
@@ -154,6 +163,15 @@
     )
 
 
+def _numeric(host: str) -> bool:
+    """A name would have to be looked up, which blocks and needs threads; neither goes with forking."""
+    try:
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return True
+
+
 class _Reader:
     """Builds instances, and reads each file that they name once."""
 
@@ -185,8 +203,8 @@
             raise table.fault("name", f"{name!r} is there twice")
         if listen in self._addresses:
             raise table.fault("listen", f"{listen[0]}:{listen[1]} is also {self._addresses[listen]!r}'s")
-        if not 1 <= listen[1] <= 65535:
-            raise table.fault("listen", "the port must be from 1 to 65535")
+        if not 1 <= listen[1] <= 65535 or not _numeric(listen[0]):
+            raise table.fault("listen", "not an IP address and a port from 1 to 65535")
         if len(self.instances) >= MOST:
             raise table.fault("", f"more than {MOST} instances")
         if not common.config and not common.command:
@@ -212,8 +230,8 @@
         settings = values.get("settings")
         if isinstance(settings, dict):
             if common.zone:
-                zones = settings.get("Zones") or ()
-                settings = settings | {"Zone": list(zones).index(common.zone) if common.zone in zones else common.zone}
+                zones = list(settings.get("Zones") or ())
+                settings = settings | {"Zone": zones.index(common.zone) if common.zone in zones else common.zone}
             if common.tier >= 0:
                 settings = settings | {"Tier": common.tier}
             values["settings"] = settings
@@ -234,16 +252,29 @@
         reader.add(table, pattern.replace("{}", str(i)), (host, port), own)
 
 
+def _read_place(path: Path, head: Table) -> Place:
+    name = head.text("name", "fleet")
+    if not NAME.fullmatch(name):
+        raise head.fault("name", f"{name!r} is not a name (letters, digits, '.', '_', '-')")
+    place = Place(name, path, path.parent / head.text("state"))
+    if len(os.fsencode(place.control)) > MAX_SOCKET_PATH:
+        raise head.fault("state", "the path is too long for a socket in it (sun_path, unix(7))")
+    return place
+
+
+def read_place(path: Path) -> Place:
+    """Read of a fleet's file only where the fleet lives; raises ConfigError."""
+    path = Path(os.path.abspath(path))
+    return _read_place(path, read_file(path).table("fleet"))
+
+
 def read_spec(path: Path) -> FleetSpec:
     """Read a fleet's file and all that it names; raises ConfigError naming file, line and key."""
     path = Path(os.path.abspath(path))
     root = read_file(path)
     base = path.parent
     head = root.table("fleet")
-    name = head.text("name", "fleet")
-    if not NAME.fullmatch(name):
-        raise head.fault("name", f"{name!r} is not a name (letters, digits, '.', '_', '-')")
-    state = base / head.text("state")
+    place = _read_place(path, head)
     spawn = head.choice("spawn", "fork", ("fork", "exec"))
     head.done()
     policy = _read_policy(root.table("policy"))
@@ -261,7 +292,7 @@
     root.done()
     if not reader.instances:
         raise ConfigError(f"{path}: instance: there is none")
-    return FleetSpec(name, path, state, spawn, policy, log, reader.instances)
+    return FleetSpec(place, spawn, policy, log, reader.instances)
 
 
 def write_private(path: Path, content: bytes) -> None:
--- /dev/null
+++ b/cometusher/fleet/supervisor.py
@@ -0,0 +1,541 @@
+"""The supervisor: processes, signals, pipes and files around the decisions of `weldroute.fleet`.
+
+Every event goes into the state machine, and its actions are carried out in their order; nothing here decides
+when to start, to wait, to give up or to replace.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import gc
+import logging
+import os
+import secrets
+import signal
+import socket
+from collections.abc import Callable, Iterable, Mapping
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from cometusher.config import ConfigError
+from cometusher.fleet import process
+from cometusher.fleet.collector import Sink, SinkHandler, Stream, Target
+from cometusher.fleet.control import ControlError, ControlServer
+from cometusher.fleet.identity import Held, Identity, StateLock, read_stat
+from cometusher.fleet.listeners import Listeners, Taken, passed_sockets
+from cometusher.fleet.notify import ServiceManager
+from cometusher.fleet.process import Child
+from cometusher.fleet.spec import FleetSpec, prepare_state, read_spec, write_private
+from weldroute.fleet import Action, Done, Exit, Fleet, How, Notice, Phase, Release, Spawn, Step, Tell
+
+log = logging.getLogger(__name__)
+
+TICK = 0.1  # seconds
+LOOK = 1.0  # seconds between looks at processor time and memory
+PROBE = 1.0  # seconds between readiness checks of a process that is ready...
+PROBE_FRESH = 0.05  # ...and of one that is not yet
+PROBE_TIME = 1.0  # seconds for an answer
+SIGNALS = {How.END: signal.SIGTERM, How.KILL: signal.SIGKILL, How.RELOAD: signal.SIGHUP}
+PAGE = os.sysconf("SC_PAGE_SIZE")
+MAX_STATUS = 16 * 1024  # bytes of a status line
+
+Key = tuple[str, int]
+
+
+def resident(pid: int) -> int:
+    """Bytes of memory that a process holds; 0 if it is gone."""
+    try:
+        return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE
+    except (OSError, IndexError):
+        return 0
+
+
+def descriptors(pid: int) -> int:
+    """Descriptors that a process holds; 0 if it is gone."""
+    try:
+        return len(os.listdir(f"/proc/{pid}/fd"))
+    except OSError:
+        return 0
+
+
+def kernel_kills() -> int:
+    """How many processes the kernel has killed for memory since boot (oom_kill of /proc/vmstat)."""
+    with contextlib.suppress(OSError, ValueError):
+        for line in Path("/proc/vmstat").read_text().splitlines():
+            if line.startswith("oom_kill "):
+                return int(line.split()[1])
+    return 0
+
+
+async def is_up(address: tuple[str, int], mark: bytes) -> bool:
+    """One readiness check: `GET /up` over the listener, answered with 200 by the process that is meant.
+
+    During a replacement two processes accept from one listener; the header X-Instance tells which answered. A
+    command of the operators' own may leave the header out.
+    """
+    host = {"0.0.0.0": "127.0.0.1", "::": "::1"}.get(address[0], address[0])
+    loop = asyncio.get_running_loop()
+    with socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM) as sock:
+        sock.setblocking(False)
+        try:
+            async with asyncio.timeout(PROBE_TIME):
+                await loop.sock_connect(sock, (host, address[1]))
+                await loop.sock_sendall(sock, b"GET /up HTTP/1.1\r\nHost: up\r\nConnection: close\r\n\r\n")
+                head = b""
+                while b"\r\n\r\n" not in head and len(head) < 4096:
+                    data = await loop.sock_recv(sock, 4096)
+                    if not data:
+                        break
+                    head += data
+        except (OSError, TimeoutError):
+            return False
+    status, *rows = head.partition(b"\r\n\r\n")[0].split(b"\r\n")
+    if status.split(b" ")[1:2] != [b"200"]:
+        return False
+    marks = [row.partition(b":")[2].strip() for row in rows if row.lower().startswith(b"x-instance:")]
+    return not marks or marks == [mark]
+
+
+class Supervisor:
+    """One fleet, from its start to its end."""
+
+    def __init__(self, spec: FleetSpec, environ: Mapping[str, str]) -> None:
+        self.spec = spec
+        self.loop = asyncio.get_running_loop()
+        self.fleet = Fleet(spec.policy, secrets.randbits(64))
+        self.children: dict[Key, Child] = {}
+        self.manager = ServiceManager(environ)
+        self.listeners = Listeners(passed_sockets(environ))
+        self.sink = Sink(self.loop, Target(spec.log), spec.place.name)
+        self.control = ControlServer(spec.place.control, self._serve)
+        self._waiting: dict[int, asyncio.Future[Done]] = {}
+        self._probes: set[asyncio.Task[None]] = set()
+        self._reloads: set[asyncio.Task[None]] = set()
+        self._ended = asyncio.Event()
+        self._look_at = 0.0
+        self._kills = kernel_kills()
+        self._roster_due = False
+        handler = SinkHandler(self.sink, spec.place.name)
+        logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
+
+    # ---- life ----------------------------------------------------------------------------
+
+    async def prepare(self) -> None:
+        """All that can fail at the start: the predecessor's processes, the addresses, the socket.
+
+        Raises Taken or OSError.
+        """
+        await self._settle_predecessor()
+        for one in self.spec.instances.values():
+            self.listeners.get(one.name, one.listen)
+        await self.control.start()
+
+    async def run(self, names: Iterable[str]) -> Done:
+        """Start instances; returns how that went. The fleet runs on until `ended`."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            self.loop.add_signal_handler(number, self.stop)
+        self.loop.add_signal_handler(signal.SIGHUP, self._reload_by_signal)
+        self.loop.add_signal_handler(signal.SIGUSR1, self._reopen)
+        # What is alive now is shared with every process that is forked, as long as no collection walks it.
+        gc.collect()
+        gc.freeze()
+        now = self.loop.time()
+        for name in self.spec.instances:
+            self.fleet.add(now, name)
+        wanted = list(names)
+        for name in set(self.spec.instances) - set(wanted):
+            self.listeners.release(name)
+        self._tick()
+        log.info("supervisor %d of %d instances starts", os.getpid(), len(self.spec.instances))
+        done = await self._finish(self.fleet.start(now, wanted))
+        if not self.fleet.ending:
+            self.manager.ready(done.text)
+        return done
+
+    async def ended(self) -> None:
+        """Wait for the end, and clean up."""
+        await self._ended.wait()
+        for task in self._probes:
+            task.cancel()
+        await self.control.stop()
+        self.listeners.release_all()
+        with contextlib.suppress(OSError):
+            self.spec.place.roster.unlink()
+        log.info("supervisor stopped")
+        self.sink.close()
+
+    def stop(self) -> None:
+        """End in order."""
+        if not self.fleet.ending:
+            log.info("stopping")
+            self.manager.stopping()
+            self.listeners.release_all()
+            self._do(self.fleet.shutdown(self.loop.time()))
+
+    async def _settle_predecessor(self) -> None:
+        """Wait for what a supervisor that was killed has left behind, and end what does not end by itself.
+
+        Its instances have noticed by their lifelines and are ending in order. One that is stopped or hung can't
+        notice: it is killed, but only if it is that very process.
+        """
+        left = []
+        with contextlib.suppress(OSError, orjson.JSONDecodeError):
+            rows = orjson.loads(self.spec.place.roster.read_bytes())
+            found = [Identity.read(row) for row in rows] if isinstance(rows, list) else []
+            left = [one for one in found if one is not None and one.uid == os.geteuid() and one.alive()]
+        if not left:
+            return
+        log.warning("%d processes of an earlier supervisor are ending", len(left))
+        deadline = self.loop.time() + self.spec.policy.stop_within
+        while left and self.loop.time() < deadline:
+            await asyncio.sleep(0.05)
+            left = [one for one in left if one.alive()]
+        for one in left:
+            log.warning("pid %d of an earlier supervisor does not end; killed", one.pid)
+            one.signal(signal.SIGKILL)
+        while any(one.alive() for one in left):
+            await asyncio.sleep(0.02)
+
+    def _tick(self) -> None:
+        now = self.loop.time()
+        self.manager.beat(now)
+        if now >= self._look_at:
+            self._look_at = now + LOOK
+            self._look(now)
+        self._do(self.fleet.tick(now))
+        if not self._ended.is_set():
+            self.loop.call_later(TICK, self._tick)
+
+    def _look(self, now: float) -> None:
+        """Processor time of the silent, and memory of all."""
+        for name, generation in self.fleet.suspects(now):
+            child = self.children.get((name, generation))
+            stat = read_stat(child.pid) if child is not None else None
+            if stat is not None:
+                self.fleet.cpu(now, name, generation, stat.cpu)
+        for child in list(self.children.values()):
+            one = self.spec.instances.get(child.name)
+            limit = one.memory_mb * 1024 * 1024 if one is not None else 0
+            held = resident(child.pid)
+            if limit and held > limit:
+                text = f"{held >> 20} MB, over {limit >> 20} MB"
+                self._do(self.fleet.over_memory(now, child.name, child.generation, text))
+
+    # ---- actions -------------------------------------------------------------------------
+
+    def _do(self, actions: list[Action]) -> None:
+        for action in actions:
+            if isinstance(action, Spawn):
+                self._spawn(action)
+            elif isinstance(action, Tell):
+                self._tell(action)
+            elif isinstance(action, Release):
+                self.listeners.release(action.name)
+            elif isinstance(action, Notice):
+                level = logging.WARNING if action.bad else logging.INFO
+                log.log(level, "%s", action.text, extra={"event": action.event, "instance": action.name or None})
+            else:
+                self._done(action)
+        if self.fleet.ended and not self.children:
+            self._ended.set()
+
+    def _done(self, done: Done) -> None:
+        log.log(logging.INFO if done.ok else logging.WARNING, "%s", done.text, extra={"event": "operation"})
+        future = self._waiting.pop(done.operation, None)
+        if future is not None and not future.done():
+            future.set_result(done)
+
+    def _finish(self, begun: tuple[int, list[Action]]) -> asyncio.Future[Done]:
+        """The end of an operation that has just begun."""
+        ident, actions = begun
+        future = self._waiting[ident] = self.loop.create_future()
+        self._do(actions)
+        return future
+
+    def _spawn(self, action: Spawn) -> None:
+        one = self.spec.instances.get(action.name)
+        try:
+            if one is None:
+                raise Taken("no longer in the file")
+            child = process.spawn(self.spec, one, action.generation, self.listeners.get(one.name, one.listen))
+        except (OSError, Taken) as fault:
+            text = f"could not be started: {fault}"
+            self._do(self.fleet.spawn_failed(self.loop.time(), action.name, action.generation, text))
+            return
+        self.children[child.name, child.generation] = child
+        stream = Stream(self.sink, child.name, child.log)
+        self.loop.add_reader(child.log, self._read_log, child, stream)
+        self.loop.add_reader(child.status, self._read_status, child)
+        self.loop.add_reader(child.pidfd, self._reap, child, stream)
+        self._write_roster()
+
+    def _tell(self, action: Tell) -> None:
+        child = self.children.get((action.name, action.generation))
+        if child is None:
+            return
+        if action.how is How.RELOAD:
+            one = self.spec.instances[action.name]
+            write_private(self.spec.place.instance_file(action.name), one.content)
+            child.version = one.version
+        child.signal(SIGNALS[action.how])
+
+    # ---- processes -----------------------------------------------------------------------
+
+    def _read_log(self, child: Child, stream: Stream) -> None:
+        if not stream.read():
+            self.loop.remove_reader(child.log)
+
+    def _read_status(self, child: Child) -> None:
+        try:
+            data = os.read(child.status, 65536)
+        except BlockingIOError:
+            return
+        if not data:
+            self.loop.remove_reader(child.status)
+            return
+        *lines, child.rest = (child.rest + data).split(b"\n")
+        child.rest = child.rest[:MAX_STATUS]
+        for line in lines:
+            try:
+                values = orjson.loads(line)
+                event = str(values["event"])
+            except (orjson.JSONDecodeError, KeyError, TypeError):
+                log.warning("%s: a status line can't be read", child.name)
+                continue
+            self._status(child, event, values)
+
+    def _status(self, child: Child, event: str, values: dict[str, Any]) -> None:
+        now = self.loop.time()
+        if event == "beat":
+            child.figures = {k: v for k, v in values.items() if isinstance(v, int)}
+            finished = sum(v for k, v in child.figures.items() if k != "open")
+            self.fleet.beat(now, child.name, child.generation, finished)
+        elif event == "ready":
+            task = self.loop.create_task(self._probe(child))
+            self._probes.add(task)
+            task.add_done_callback(self._probes.discard)
+            self._do(self.fleet.ready(now, child.name, child.generation))
+        elif event == "reloaded":
+            why = values.get("why")
+            self._do(self.fleet.reloaded(now, child.name, child.generation, None if why is None else str(why)))
+
+    async def _probe(self, child: Child) -> None:
+        """Readiness checks of one process, as long as it is to answer them."""
+        mark = f"{child.name}/{child.generation}".encode()
+        while (child.name, child.generation) in self.children:
+            instance = self.fleet.instances.get(child.name)
+            one = self.spec.instances.get(child.name)
+            found = instance.find(child.generation) if instance is not None else None
+            if one is None or found is None or found.phase not in (Phase.STARTING, Phase.READY):
+                return
+            if await is_up(one.listen, mark):
+                self._do(self.fleet.up(self.loop.time(), child.name, child.generation))
+            fresh = found.phase is Phase.STARTING
+            await asyncio.sleep(PROBE_FRESH if fresh else PROBE)
+
+    def _reap(self, child: Child, stream: Stream) -> None:
+        """A process has ended: what it left in its group ends too, and then it is forgotten."""
+        self.loop.remove_reader(child.pidfd)
+        child.signal_group(signal.SIGKILL)
+        _, status = os.waitpid(child.pid, 0)
+        self._read_status(child)
+        for _ in range(64):  # what it still said; bounded, for another may hold the pipe's other end
+            if not stream.read():
+                break
+        for descriptor in (child.log, child.status):
+            self.loop.remove_reader(descriptor)
+        del self.children[child.name, child.generation]
+        child.close()
+        self._write_roster()
+        self._do(self.fleet.exited(self.loop.time(), child.name, child.generation, self._exit(status)))
+
+    def _exit(self, status: int) -> Exit:
+        code = os.waitstatus_to_exitcode(status)
+        if code >= 0:
+            return Exit(code=code)
+        kills = kernel_kills()
+        by_kernel = -code == signal.SIGKILL and kills > self._kills
+        self._kills = kills
+        return Exit(signal=-code, out_of_memory=by_kernel)
+
+    def _write_roster(self) -> None:
+        """Note what runs for a successor; once for all that happens at one wake-up."""
+        if not self._roster_due:
+            self._roster_due = True
+            self.loop.call_soon(self._write_roster_now)
+
+    def _write_roster_now(self) -> None:
+        self._roster_due = False
+        if self._ended.is_set():
+            return
+        rows = [child.identity.as_values() | {"name": child.name} for child in self.children.values()]
+        try:
+            write_private(self.spec.place.roster, orjson.dumps(rows))
+        except OSError as fault:
+            log.error("the roster can't be written: %s", fault)
+
+    # ---- reload --------------------------------------------------------------------------
+
+    def _reload_by_signal(self) -> None:
+        async def attempt() -> None:
+            with contextlib.suppress(ControlError):  # it is in the log
+                await self.reload()
+
+        task = self.loop.create_task(attempt())
+        self._reloads.add(task)
+        task.add_done_callback(self._reloads.discard)
+
+    async def reload(self) -> Done:
+        """Read the file again, check it whole, and bring the instances to it; raises ControlError.
+
+        A file that can't be used changes nothing. Instances take over what they can while they run; others are
+        replaced, a few at a time.
+        """
+        self._not_ending()
+        try:
+            fresh = read_spec(self.spec.place.path)
+            self._check_change(fresh)
+        except (ConfigError, Taken) as fault:
+            log.error("the configuration stays as it was: %s", fault, extra={"event": "reload_refused"})
+            raise ControlError(str(fault)) from None
+        self.manager.reloading()
+        old, self.spec = self.spec, fresh
+        self.fleet.policy = fresh.policy
+        steps: list[tuple[str, Step]] = [(n, Step.REMOVE) for n in old.instances if n not in fresh.instances]
+        now = self.loop.time()
+        for name, one in fresh.instances.items():
+            if name not in old.instances:
+                self.fleet.add(now, name)
+                steps.append((name, Step.START))
+            elif old.instances[name].version != one.version or old.instances[name].sockets != one.sockets:
+                steps.append((name, Step.REPLACE if old.instances[name].needs_restart(one) else Step.RELOAD))
+        log.info("the configuration was read again; %d instances change", len(steps), extra={"event": "reload"})
+        done = await self._finish(self.fleet.reload(now, steps))
+        self.manager.ready(done.text)
+        return done
+
+    def _check_change(self, fresh: FleetSpec) -> None:
+        """Raise for what can't change while the fleet runs, and take the addresses of what is added."""
+        old = self.spec
+        for key, before, after in (
+            ("fleet.name", old.place.name, fresh.place.name), ("fleet.state", old.place.state, fresh.place.state),
+            ("fleet.spawn", old.spawn, fresh.spawn), ("log", old.log, fresh.log),
+        ):
+            if before != after:
+                raise ConfigError(f"{fresh.place.path}: {key}: {after} instead of {before} needs a new start")
+        added = []
+        for name, one in fresh.instances.items():
+            running = old.instances.get(name)
+            if running is not None and running.listen != one.listen:
+                raise ConfigError(f"{fresh.place.path}: {name}: listen: can't change; give the instance another name")
+            if running is None:
+                added.append(one)
+        try:
+            for one in added:
+                self.listeners.get(one.name, one.listen)
+        except Taken:
+            for one in added:
+                self.listeners.release(one.name)
+            raise
+
+    def _reopen(self) -> None:
+        self.sink.target.reopen()
+        log.info("the log was opened again", extra={"event": "reopened"})
+
+    # ---- control -------------------------------------------------------------------------
+
+    async def _serve(self, command: str, request: dict[str, Any]) -> dict[str, Any]:
+        names = request.get("names") or []
+        if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
+            raise ControlError("names: not a list of names")
+        unknown = [name for name in names if name not in self.fleet.instances]
+        if unknown:
+            raise ControlError(f"no such instance: {', '.join(map(repr, unknown[:5]))}")
+        if command == "status":
+            return self.status(names)
+        self._not_ending()
+        now = self.loop.time()
+        if command == "start":
+            begun = self.fleet.start(now, names or list(self.fleet.instances))
+        elif command == "restart":
+            begun = self.fleet.restart(now, names or list(self.fleet.instances))
+        elif command == "stop" and names:
+            begun = self.fleet.stop(now, names)
+        elif command == "stop":
+            self.loop.call_soon(self.stop)
+            return {"text": "stopping", "pid": os.getpid(), "within": self.spec.policy.stop_within}
+        elif command == "reload":
+            done = await self.reload()
+            return self._told(done)
+        else:
+            raise ControlError(f"unknown command {command!r}")
+        return self._told(await self._finish(begun))
+
+    @staticmethod
+    def _told(done: Done) -> dict[str, Any]:
+        if not done.ok:
+            raise ControlError(done.text)
+        return {"text": done.text}
+
+    def _not_ending(self) -> None:
+        if self.fleet.ending:
+            raise ControlError("the fleet is stopping")
+
+    def status(self, names: list[str]) -> dict[str, Any]:
+        """All that can be seen of the fleet, as plain values. Bytes and seconds."""
+        now = self.loop.time()
+        rows = []
+        for name in names or list(self.fleet.instances):
+            row = self.fleet.view(now, name)
+            child = self.children.get((name, row["generation"]))
+            one = self.spec.instances.get(name)
+            row["listen"] = "{}:{}".format(*one.listen) if one is not None else None
+            row["pid"] = child.pid if child else None
+            row["version"] = child.version if child else None
+            row["memory"] = resident(child.pid) if child else 0
+            row["descriptors"] = descriptors(child.pid) if child else 0
+            row["requests"] = child.figures if child else {}
+            rows.append(row)
+        return {
+            "fleet": self.spec.place.name, "pid": os.getpid(), "instances": rows, "operations": self.fleet.operations,
+            "log_dropped": self.sink.dropped_total,
+        }
+
+
+class CannotStart(Exception):
+    """A fleet could not be started; the text says why."""
+
+
+StartTold = Callable[[Done], None]
+
+
+async def supervise(spec: FleetSpec, names: list[str], environ: Mapping[str, str], tell: StartTold) -> None:
+    """Run a fleet to its end; `tell` is called with how its start went. Raises CannotStart."""
+    supervisor = Supervisor(spec, environ)
+    try:
+        await supervisor.prepare()
+    except (Taken, OSError) as fault:
+        supervisor.listeners.release_all()
+        raise CannotStart(str(fault)) from None
+    tell(await supervisor.run(names or list(spec.instances)))
+    await supervisor.ended()
+
+
+def run(spec: FleetSpec, names: list[str], environ: Mapping[str, str], tell: StartTold) -> None:
+    """Hold the state directory and run the fleet in the foreground; raises CannotStart or ConfigError."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
+    prepare_state(spec.place.state)
+    lock = StateLock(spec.place.lock_file, spec.place.pid_file)
+    try:
+        lock.hold()
+    except Held as fault:
+        raise CannotStart(str(fault)) from None
+    except OSError as fault:
+        raise CannotStart(f"{spec.place.lock_file}: {fault.strerror}") from None
+    try:
+        asyncio.run(supervise(spec, names, environ, tell))
+    finally:
+        lock.release()
--- a/cometusher/tables.py
+++ b/cometusher/tables.py
@@ -135,7 +135,8 @@
 
     def table(self, key: str) -> Table:
         """A table; empty if absent."""
-        value = self._take(key, {}, lambda v: v if isinstance(v, dict) else None, "a table")
+        none: dict[str, Any] = {}
+        value = self._take(key, none, lambda v: v if isinstance(v, dict) else None, "a table")
         return Table(self.source, value, self.at(key))
 
     def tables(self, key: str) -> list[Table]:
@@ -144,7 +145,8 @@
         def read(value: Any) -> list[dict[str, Any]] | None:
             return value if isinstance(value, list) and all(isinstance(v, dict) for v in value) else None
 
-        rows = self._take(key, [], read, "a list of tables")
+        none: list[dict[str, Any]] = []
+        rows = self._take(key, none, read, "a list of tables")
         return [Table(self.source, row, f"{self.at(key)}[{i}]") for i, row in enumerate(rows)]
 
     def done(self) -> None:
--- a/weldroute/fleet.py
+++ b/weldroute/fleet.py
@@ -624,6 +624,8 @@
     def _unwant(self, now: float, instance: Instance) -> None:
         instance.wanted = instance.failed = instance.crashed = False
         instance.due = None
+        # At once: the processes go on accepting from their own copies as long as they answer, and no longer.
+        self._out.append(Release(instance.name))
         for process in instance.processes:
             self._end(now, process, ASKED, instance.name)
 
@@ -654,7 +656,6 @@
             if not instance.processes:
                 if instance.removed:
                     del self.instances[name]
-                self._out.append(Release(name))
                 self._step_done(operation, name, f"{name}: started again" if instance.wanted else None)
         elif not instance.wanted:
             self._step_done(operation, name, f"{name}: stopped meanwhile")
