--- a/weldroute/fleet.py
+++ b/weldroute/fleet.py
@@ -626,6 +626,8 @@
         instance.due = None
         # At once: the processes go on accepting from their own copies as long as they answer, and no longer.
         self._out.append(Release(instance.name))
+        if instance.fresh is not None:
+            instance.leaving[instance.fresh.generation], instance.fresh = instance.fresh, None
         for process in instance.processes:
             self._end(now, process, ASKED, instance.name)
 
