Faults of instances caused under a real supervisor

Exit at once, exit when ready, never ready, deaf to SIGTERM, stopped, hung while beating, over its memory, killed, orphaned, halted roll-out: each is caused over loopback with real processes, and its end looked at. A readiness check of an ended process is cancelled: its successor would have answered it.

--- a/cometusher/demo.py
+++ b/cometusher/demo.py
@@ -10,7 +10,6 @@
 import contextlib
 import os
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -25,6 +24,7 @@
 from standins.backend import Backend
 from standins.discovery import HostList
 from standins.load import Figures, Kind, Load
+from standins.ports import free_ports
 from standins.service import Service
 
 ZONES = ("kigali", "huye")
@@ -57,15 +57,6 @@
     }
 
 
-def free_ports(count: int) -> list[int]:
-    """Ports of loopback that nobody has now; all are looked for at once, so that they differ."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [int(sock.getsockname()[1]) for sock in sockets]
-
-
 @dataclass
 class Installation:
     """All of it but the proxies."""
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -112,7 +112,7 @@
         self.sink = Sink(self.loop, Target(spec.log), spec.place.name)
         self.control = ControlServer(spec.place.control, self._serve)
         self._waiting: dict[int, asyncio.Future[Done]] = {}
-        self._probes: set[asyncio.Task[None]] = set()
+        self._probes: dict[Key, asyncio.Task[None]] = {}
         self._reloads: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
         self._look_at = 0.0
@@ -158,7 +158,7 @@
     async def ended(self) -> None:
         """Wait for the end, and clean up."""
         await self._ended.wait()
-        for task in self._probes:
+        for task in self._probes.values():
             task.cancel()
         await self.control.stop()
         self.listeners.release_all()
@@ -314,9 +314,8 @@
             finished = sum(v for k, v in child.figures.items() if k != "open")
             self.fleet.beat(now, child.name, child.generation, finished)
         elif event == "ready":
-            task = self.loop.create_task(self._probe(child))
-            self._probes.add(task)
-            task.add_done_callback(self._probes.discard)
+            if (child.name, child.generation) not in self._probes:
+                self._probes[child.name, child.generation] = self.loop.create_task(self._probe(child))
             self._do(self.fleet.ready(now, child.name, child.generation))
         elif event == "reloaded":
             why = values.get("why")
@@ -348,6 +347,9 @@
         for descriptor in (child.log, child.status):
             self.loop.remove_reader(descriptor)
         del self.children[child.name, child.generation]
+        probe = self._probes.pop((child.name, child.generation), None)
+        if probe is not None:
+            probe.cancel()  # its question would be answered by the next process
         child.close()
         self._write_roster()
         self._do(self.fleet.exited(self.loop.time(), child.name, child.generation, self._exit(status)))
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import tempfile
+from collections.abc import Iterator
+from pathlib import Path
+
 import pytest
+from fleetrig import FleetRig, fleet_rig
 
 from cometusher import backends, callers
 
@@ -19,3 +24,10 @@
     monkeypatch.setattr(callers, "REQUEST_TIME", 60.0)
     monkeypatch.setattr(callers, "IDLE_CROWDED", 60.0)
     monkeypatch.setattr(backends, "ANSWER_TIME", 60.0)
+
+
+@pytest.fixture
+def fleet() -> Iterator[FleetRig]:
+    """A fleet in a folder of its own; its paths are short, for a socket lies there."""
+    with tempfile.TemporaryDirectory(prefix="fleet-") as folder, fleet_rig(Path(folder)) as rig:
+        yield rig
--- /dev/null
+++ b/tests/fleetrig.py
@@ -0,0 +1,179 @@
+"""A fleet on loopback under a supervisor process, for tests that make it go wrong."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Iterator
+from pathlib import Path
+from typing import Any
+
+import orjson
+from rig import PATIENCE, SETTINGS
+
+from cometusher.fleet.control import ControlError, NoSupervisor, ask
+from cometusher.fleet.identity import read_stat
+from standins.ports import free_ports
+
+ROOT = Path(__file__).parent.parent
+FAULTY = [sys.executable, str(ROOT / "standins" / "faulty.py")]
+WAIT = 3.0 * PATIENCE
+QUICK = {
+    "backoff_from": 0.02, "backoff_to": 0.2, "ready_within": 20.0, "stop_within": 20.0, "hang_after": 20.0,
+    "budget": 50,
+}
+
+
+def eventually(condition: Callable[[], Any], what: str = "") -> Any:
+    """Wait for what must become true; returns it."""
+    until = time.monotonic() + WAIT
+    while time.monotonic() < until:
+        if value := condition():
+            return value
+        time.sleep(0.01)
+    raise AssertionError(f"never came true: {what or condition}")
+
+
+def toml(values: dict[str, Any]) -> str:
+    """`key = value` lines; JSON's forms of texts, numbers and lists of them are TOML's as well."""
+    return "".join(f"{key} = {orjson.dumps(value).decode()}\n" for key, value in values.items())
+
+
+class FleetRig:
+    """A fleet's files, and the supervisor's process."""
+
+    def __init__(self, folder: Path) -> None:
+        self.folder = folder
+        self.file = folder / "fleet.toml"
+        self.state = folder / "s"
+        self.log = folder / "fleet.log"
+        self.control = self.state / "control.sock"
+        self.head: dict[str, Any] = {"name": "t", "state": "s"}
+        self.policy: dict[str, Any] = dict(QUICK)
+        self.logging: dict[str, Any] = {"target": "fleet.log"}
+        self.common: dict[str, Any] = {}
+        self.instances: dict[str, dict[str, Any]] = {}
+        self.started: list[subprocess.Popen[bytes]] = []
+        self.seen: set[int] = set()  # pids of all processes that were seen in the fleet
+        config = {"discovery": "127.0.0.1:9", "settings": SETTINGS}
+        (folder / "proxy.json").write_bytes(orjson.dumps(config))
+
+    def add(self, *names: str, mode: str = "", value: str = "", **settings: Any) -> None:
+        """Instances: proxies, or faulty ones of a mode."""
+        for name, port in zip(names, free_ports(len(names)), strict=True):
+            what: dict[str, Any] = {"command": [*FAULTY, mode, value]} if mode else {"config": "proxy.json"}
+            self.instances[name] = {"name": name, "listen": f"127.0.0.1:{port}"} | what | settings
+
+    def port(self, name: str) -> int:
+        return int(self.instances[name]["listen"].rpartition(":")[2])
+
+    def write(self) -> Path:
+        text = f"[fleet]\n{toml(self.head)}[policy]\n{toml(self.policy)}[log]\n{toml(self.logging)}"
+        text += f"[common]\n{toml(self.common)}"
+        text += "".join(f"[[instance]]\n{toml(values)}" for values in self.instances.values())
+        self.file.write_text(text)
+        return self.file
+
+    def command(self, *arguments: str) -> list[str]:
+        return [sys.executable, "-m", "cometusher", *arguments]
+
+    def launch(
+        self, *more: str, prefix: list[str] | None = None, env: dict[str, str] | None = None, **options: Any
+    ) -> subprocess.Popen[bytes]:
+        """A supervisor in the foreground; returns at once."""
+        streams = {"stdout": subprocess.PIPE, "stderr": subprocess.PIPE} | options
+        environ = os.environ | {"PYTHONPATH": str(ROOT)} | (env or {})
+        command = [*(prefix or []), *self.command("fleet", "start", "-c", str(self.file), *more)]
+        process: subprocess.Popen[bytes]
+        process = subprocess.Popen(command, cwd=self.folder, env=environ, text=False, **streams)
+        self.started.append(process)
+        return process
+
+    def run(self, *arguments: str) -> subprocess.CompletedProcess[bytes]:
+        """A command, to its end."""
+        environ = os.environ | {"PYTHONPATH": str(ROOT)}
+        return subprocess.run(
+            self.command(*arguments), cwd=self.folder, env=environ, capture_output=True, timeout=2 * WAIT, check=False
+        )
+
+    def fleet(self, action: str, *more: str) -> subprocess.CompletedProcess[bytes]:
+        return self.run("fleet", action, "-c", str(self.file), *more)
+
+    def start(self, *more: str, **options: Any) -> subprocess.Popen[bytes]:
+        """Write the file, launch, and wait until every instance is ready."""
+        self.write()
+        process = self.launch(*more, **options)
+        eventually(lambda: self.states() == {"ready"} or process.poll() is not None, "all ready")
+        assert process.poll() is None, process.communicate()[1]
+        return process
+
+    def status(self) -> dict[str, dict[str, Any]]:
+        """Rows by name; empty where no supervisor answers."""
+        try:
+            rows = ask(self.control, "status", PATIENCE)["instances"]
+        except (NoSupervisor, ControlError):
+            for process in self.started[-1:]:
+                assert process.poll() in (None, 0, -signal.SIGKILL), process.communicate()[1]
+            return {}
+        self.seen |= {row["pid"] for row in rows if row["pid"]}
+        return {row["name"]: row for row in rows}
+
+    def states(self) -> set[str]:
+        return {row["state"] for row in self.status().values()}
+
+    def pids(self) -> dict[str, int]:
+        return {name: row["pid"] for name, row in self.status().items()}
+
+    def logged(self) -> str:
+        return self.log.read_text() if self.log.exists() else ""
+
+    def strays(self) -> list[int]:
+        """Processes of the fleet that are still there, by what they were told at their start."""
+        found = []
+        mark = str(self.folder).encode()
+        for entry in os.listdir("/proc"):
+            if entry.isdigit() and int(entry) != os.getpid():
+                with contextlib.suppress(OSError):
+                    environ = Path(f"/proc/{entry}/environ").read_bytes()
+                    command = Path(f"/proc/{entry}/cmdline").read_bytes()
+                    if (mark in environ or mark in command) and b"cometusher" in command + environ:
+                        found.append(int(entry))
+        return found + [pid for pid in self.seen if gone(pid) is False]
+
+    def end(self, process: subprocess.Popen[bytes], number: int = signal.SIGTERM) -> int:
+        """Signal a supervisor and wait for its end; returns its exit code."""
+        process.send_signal(number)
+        process.communicate(timeout=WAIT)
+        return process.returncode
+
+
+def gone(pid: int) -> bool:
+    stat = read_stat(pid)
+    return stat is None or stat.state == "Z"
+
+
+@contextlib.contextmanager
+def fleet_rig(folder: Path) -> Iterator[FleetRig]:
+    """Nothing that a test started is left behind."""
+    rig = FleetRig(folder)
+    try:
+        yield rig
+    finally:
+        rig.status()
+        for process in rig.started:
+            if process.poll() is None:
+                process.kill()
+            process.communicate()
+        eventually(lambda: _clean(rig), "no process is left")
+
+
+def _clean(rig: FleetRig) -> bool:
+    left = rig.strays()
+    for pid in left:
+        with contextlib.suppress(OSError):
+            os.kill(pid, signal.SIGKILL)
+    return not left
--- /dev/null
+++ b/tests/loopback/test_fleet_lives.py
@@ -0,0 +1,218 @@
+"""Instances that go wrong under a real supervisor: each fault is caused, and each end is looked at."""
+
+from __future__ import annotations
+
+import os
+import signal
+import socket
+import time
+from pathlib import Path
+
+import pytest
+from fleetrig import FleetRig, eventually, gone
+
+
+@pytest.mark.parametrize("spawn", ["fork", "exec"])
+def test_start_restart_stop_and_no_stray(fleet: FleetRig, spawn: str) -> None:
+    fleet.head["spawn"] = spawn
+    fleet.add("a", "b", "c")
+    process = fleet.start()
+    before = fleet.pids()
+    done = fleet.fleet("restart")
+    assert done.returncode == 0, done.stderr
+    after = fleet.pids()
+    assert not set(before.values()) & set(after.values())
+    assert all(row["restarts"] == 0 and row["generation"] == 2 for row in fleet.status().values())
+    done = fleet.fleet("stop", "b")
+    assert done.returncode == 0 and fleet.status()["b"]["state"] == "stopped"
+    done = fleet.fleet("start", "b")
+    assert done.returncode == 0 and fleet.states() == {"ready"}
+    done = fleet.fleet("stop")
+    assert (done.returncode, process.wait()) == (0, 0)
+    assert fleet.strays() == []
+
+
+def test_one_that_exits_at_once_is_given_up_without_spinning(fleet: FleetRig) -> None:
+    fleet.policy["budget"] = 3
+    fleet.add("good", mode="ok")
+    fleet.add("bad", mode="exits")
+    fleet.write()
+    process = fleet.launch()
+    eventually(lambda: {n: r["state"] for n, r in fleet.status().items()} == {"good": "ready", "bad": "failed"})
+    row = fleet.status()["bad"]
+    assert row["last_exit"] == "code 3" and row["reason"].startswith("ended 4 times") and row["generation"] == 4
+    assert fleet.logged().count(" bad fleet.supervisor/exited") == 3  # and a fourth that was the last
+    assert fleet.end(process) == 0
+
+
+def test_one_that_exits_after_it_was_ready_is_started_again(fleet: FleetRig) -> None:
+    fleet.policy["budget"] = 4
+    fleet.add("x", mode="exits-later")
+    fleet.write()
+    fleet.launch()
+    eventually(lambda: fleet.states() == {"failed"})
+    row = fleet.status()["x"]
+    assert row["restarts"] == 4 and row["last_exit"] == "code 4"
+
+
+def test_one_that_never_gets_ready_is_killed_and_says_so(fleet: FleetRig) -> None:
+    fleet.policy |= {"budget": 1, "ready_within": 0.3}
+    fleet.add("x", mode="mute")
+    fleet.write()
+    fleet.launch()
+    eventually(lambda: fleet.states() == {"failed"})
+    row = fleet.status()["x"]
+    assert "not ready within 0.3 s" in row["reason"] and row["last_exit"] == "signal 9"
+
+
+def test_one_that_ignores_sigterm_is_killed_after_the_deadline(fleet: FleetRig) -> None:
+    fleet.policy["stop_within"] = 0.3
+    fleet.add("x", mode="stubborn")
+    fleet.add("y", mode="ok")
+    process = fleet.start()
+    pids = fleet.pids()
+    assert fleet.end(process) == 0
+    assert all(gone(pid) for pid in pids.values())
+    assert "x fleet.supervisor/killed: did not end within 0.3 s" in fleet.logged()
+    assert "y fleet.supervisor/killed" not in fleet.logged()
+
+
+def test_one_that_is_stopped_is_hung_and_replaced(fleet: FleetRig) -> None:
+    """SIGSTOP: alive, its listener accepts, nothing is answered and no processor time is used."""
+    fleet.policy["hang_after"] = 2.5
+    fleet.add("a", "b")
+    fleet.start()
+    before = fleet.pids()
+    os.kill(before["a"], signal.SIGSTOP)
+    eventually(lambda: fleet.status().get("a", {}).get("restarts") == 1 and fleet.states() == {"ready"})
+    after = fleet.pids()
+    assert gone(before["a"]) and after["a"] != before["a"] and after["b"] == before["b"]
+    assert "hung: no sign of life" in fleet.logged()
+    assert fleet.status()["a"]["last_exit"] == "signal 9"
+
+
+def test_one_that_beats_but_answers_nothing_is_replaced(fleet: FleetRig) -> None:
+    fleet.policy |= {"hang_after": 0.5, "busy_limit": 1.5, "budget": 1}
+    fleet.add("x", mode="deaf")
+    fleet.write()
+    fleet.launch()
+    eventually(lambda: fleet.states() == {"failed"})
+    assert "alive, but no request answered" in fleet.status()["x"]["reason"]
+
+
+def test_a_killed_instance_comes_back_and_its_listener_never_refuses(fleet: FleetRig) -> None:
+    fleet.add("a")
+    fleet.start()
+    for round_ in range(1, 4):
+        os.kill(fleet.pids()["a"], signal.SIGKILL)
+        with socket.create_connection(("127.0.0.1", fleet.port("a"))) as sock:  # refused without the held listener
+            sock.sendall(b"GET /up HTTP/1.1\r\nConnection: close\r\n\r\n")
+            sock.settimeout(20.0)
+            assert sock.recv(100).startswith(b"HTTP/1.1 200")
+        while fleet.status()["a"]["restarts"] < round_ or fleet.states() != {"ready"}:
+            time.sleep(0.01)
+    assert fleet.status()["a"]["last_exit"] == "signal 9"
+
+
+def test_what_an_instance_left_in_its_group_ends_with_it(fleet: FleetRig) -> None:
+    """A command that starts a helper and is killed: the helper would otherwise live on."""
+    note = fleet.folder / "helper"
+    script = f"sleep 1000 & echo $! > {note}.new; mv {note}.new {note}; exec \"$0\" \"$@\""
+    fleet.add("x", mode="ok")
+    fleet.instances["x"]["command"] = ["/bin/sh", "-c", script, *fleet.instances["x"]["command"]]
+    fleet.start()
+    helper = int(note.read_text())
+    assert not gone(helper)
+    note.unlink()
+    os.kill(fleet.pids()["x"], signal.SIGKILL)
+    eventually(lambda: gone(helper))
+
+
+def test_an_instance_over_its_memory_is_replaced_and_says_why(fleet: FleetRig) -> None:
+    fleet.policy["budget"] = 1
+    fleet.add("x", mode="ok", memory_mb=32)
+    python, path, *_ = fleet.instances["x"]["command"]
+    body = "import runpy, sys; held = bytearray(200 << 20); sys.argv = ['x', 'ok']; "
+    body += f"runpy.run_path({path!r}, {{}}, '__main__')"
+    fleet.instances["x"]["command"] = [python, "-c", body]
+    fleet.write()
+    fleet.launch()
+    eventually(lambda: fleet.states() == {"failed"})
+    row = fleet.status()["x"]
+    assert "out of memory" in row["last_exit"] and "over 32 MB" in row["reason"]
+
+
+def test_sigterm_during_the_start_ends_all(fleet: FleetRig) -> None:
+    fleet.policy["ready_within"] = 1000.0
+    fleet.add(*(f"m{i}" for i in range(4)), mode="mute")
+    fleet.write()
+    process = fleet.launch()
+    eventually(lambda: fleet.states() == {"starting"})
+    pids = fleet.pids()
+    assert len(pids) == 4
+    assert fleet.end(process) == 0
+    assert all(gone(pid) for pid in pids.values()) and fleet.strays() == []
+
+
+def test_nothing_outlives_a_killed_supervisor(fleet: FleetRig) -> None:
+    """Ten instances end by themselves, one of them after the kernel has woken it; one is deaf to everything, and
+    the next supervisor ends just that."""
+    fleet.policy["stop_within"] = 4.0
+    fleet.add(*(f"p{i}" for i in range(10)))
+    fleet.add("deaf", mode="stuck")
+    process = fleet.start()
+    before = fleet.pids()
+    os.kill(before["p3"], signal.SIGSTOP)  # its group is orphaned, and continued (POSIX, exit())
+    process.kill()
+    process.wait()
+    left = before.pop("deaf")
+    eventually(lambda: all(gone(pid) for pid in before.values()))
+    assert not gone(left)
+    fleet.start()
+    assert gone(left) and f"pid {left} of an earlier supervisor does not end; killed" in fleet.logged()
+    assert not set(fleet.pids().values()) & set(before.values())
+
+
+def test_a_successor_that_comes_at_once_waits_for_the_ports(fleet: FleetRig) -> None:
+    fleet.add("a", "b")
+    process = fleet.start()
+    process.kill()
+    process.wait()
+    fleet.start()
+    assert "of an earlier supervisor are ending" in fleet.logged()
+
+
+def test_a_rolling_restart_halts_on_a_bad_fresh_process_and_the_old_ones_stay(fleet: FleetRig) -> None:
+    flag = fleet.folder / "bad"
+    fleet.add(*(f"x{i}" for i in range(5)), mode="flag", value=str(flag))
+    fleet.start()
+    before = fleet.pids()
+    flag.touch()
+    done = fleet.fleet("restart")
+    assert done.returncode == 1
+    assert b"the fresh process exited with code 5" in done.stderr and b"halted" in done.stderr
+    assert done.stderr.count(b"\n") == 1
+    assert fleet.pids() == before and fleet.states() == {"ready"}
+    flag.unlink()
+    assert fleet.fleet("restart").returncode == 0
+    assert not set(fleet.pids().values()) & set(before.values())
+
+
+def test_instances_leave_nothing_of_the_supervisor_open(fleet: FleetRig) -> None:
+    """An instance that held another's lifeline, or the lock, would keep it alive beyond its supervisor."""
+    fleet.add("a", "b", "c")
+    process = fleet.start()
+    fleet.fleet("restart")
+    pipes = {pid: pipes_of(pid) for pid in fleet.pids().values()}
+    supervisor = pipes_of(process.pid)
+    for pid, held in pipes.items():
+        assert len(held & supervisor) == 3  # output, status, lifeline
+        assert not any(held & other for at, other in pipes.items() if at != pid)
+        links = [os.readlink(f"/proc/{pid}/fd/{fd}") for fd in os.listdir(f"/proc/{pid}/fd")]
+        assert not any("supervisor.lock" in link or link.endswith("fleet.log") for link in links)
+        assert os.getpgid(pid) == pid and Path(f"/proc/{pid}/stat").read_text().split()[3] == str(process.pid)
+
+
+def pipes_of(pid: int) -> set[str]:
+    links = [os.readlink(f"/proc/{pid}/fd/{fd}") for fd in os.listdir(f"/proc/{pid}/fd")]
+    return {link for link in links if link.startswith("pipe:")}
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -6,7 +6,6 @@
 import contextlib
 import os
 import signal
-import socket
 import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -17,13 +16,9 @@
 from rig import PATIENCE, SETTINGS, Backend, Caller, Discovery, Script, Seen, Writer, reply, request, serve_ok
 from test_proxy import run
 
-ROOT = Path(__file__).parent.parent
-
+from standins.ports import free_ports
 
-def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+ROOT = Path(__file__).parent.parent
 
 
 async def launch(environ: dict[str, str]) -> asyncio.subprocess.Process:
@@ -40,8 +35,8 @@
     """A proxy process before one backend, ready."""
     backend = Backend(1, script)
     await backend.start()
-    port = free_port()
-    discovery = f"127.0.0.1:{discovery_port or free_port()}"
+    port = free_ports(1)[0]
+    discovery = f"127.0.0.1:{discovery_port or free_ports(1)[0]}"
     config = {
         "name": "t", "listen": f"127.0.0.1:{port}", "discovery": discovery, "seed": "ab",
         "limits": {"memory_mb": 192, "sockets": 128}, "extra": 1,
