--- a/cometusher/fleet/collector.py
+++ b/cometusher/fleet/collector.py
@@ -26,7 +26,7 @@
 STORE = 1024 * 1024  # bytes that wait for the target, at most
 MAX_LINE = 16 * 1024  # bytes of a line that an instance writes by itself
 READ = 64 * 1024  # bytes taken from one instance at one wake-up
-RETRY = 0.2  # seconds between looks at a target that took nothing
+RETRY = 0.05  # seconds between looks at a target that took nothing
 REOPEN = 1.0  # seconds between tries to open one that could not be opened
 
 
@@ -127,12 +127,6 @@
 
     def write(self, values: dict[str, Any]) -> None:
         """Take one record."""
-        if self.dropped and self._held < STORE // 2:
-            count, self.dropped = self.dropped, 0
-            self.write({
-                "ts": time.time(), "level": "warning", "instance": self._who, "subsystem": "log", "event": "dropped",
-                "text": f"{count} records were dropped: the log target took none",
-            })
         line = logs.RENDER[self.target.spec.form](values) + b"\n"
         if self._held + len(line) > STORE:
             self.drop(1)
@@ -142,6 +136,15 @@
         if self._retry is None:
             self.flush()
 
+    def _tell_dropped(self) -> None:
+        """Say what was lost, as soon as there is room for it."""
+        if self.dropped and self._held < STORE // 2:
+            count, self.dropped = self.dropped, 0
+            self.write({
+                "ts": time.time(), "level": "warning", "instance": self._who, "subsystem": "log", "event": "dropped",
+                "text": f"{count} records were dropped: the log target took none",
+            })
+
     def drop(self, count: int) -> None:
         """Count records that were lost."""
         self.dropped += count
@@ -150,6 +153,7 @@
     def flush(self) -> None:
         """Write on what waits, as far as it goes."""
         self._retry = None
+        self._tell_dropped()
         while self._store:
             line = self._store[0]
             count = self.target.write(line)
@@ -159,6 +163,7 @@
                 self._retry = self._loop.call_later(RETRY, self.flush)
                 return
             self._store.popleft()
+        self._tell_dropped()
 
     def close(self) -> None:
         """The end: one last try."""
--- a/cometusher/fleet/spec.py
+++ b/cometusher/fleet/spec.py
@@ -313,7 +313,5 @@
             raise ConfigError(f"state directory {path}: belongs to user {info.st_uid}")
         if stat.S_IMODE(info.st_mode) & 0o022:
             raise ConfigError(f"state directory {path}: others may write there")
-        write_private(path / "probe", b"")
-        (path / "probe").unlink()
     except OSError as fault:
         raise ConfigError(f"state directory {path}: not writable: {fault.strerror}") from fault
--- a/cometusher/tables.py
+++ b/cometusher/tables.py
@@ -92,7 +92,8 @@
         """A string that is not empty; without a default it has to be there."""
         value = self._take(key, default or "", lambda v: v if isinstance(v, str) and v else None, "a text")
         if not value and default is None:
-            raise self.fault(key, "missing")
+            near = difflib.get_close_matches(key, set(self.values) - self._asked, 1)
+            raise self.fault(key, "missing" + (f"; is {near[0]} meant to be it?" if near else ""))
         return value
 
     def number(self, key: str, default: float, low: float = 0.0, high: float = 1e9) -> float:
