A fresh process has its list of backends before it listens; reloads go on where they halted

A reload that had halted did nothing when repeated, for the file had not changed: what each process runs with is compared now. One that is removed and added again while a restart runs stays in the fleet. A busy process was taken for hung where hang_after was under the second between looks at its processor time.

--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -148,6 +148,7 @@
         self._rng = rng
         self._changed = changed
         self._told = False  # the present watch has brought a list
+        self.heard = asyncio.Event()  # a first list has come, or the first try at one has failed
         self._task: asyncio.Task[None] | None = None
 
     def start(self) -> None:
@@ -208,6 +209,7 @@
             log.info("discovery: the watch ended: %s", fault or type(fault).__name__)
         except Exception:
             log.exception("discovery: the watch failed")
+        self.heard.set()
 
     async def _watch(self, first_wait: float) -> None:
         async with asyncio.timeout(CONNECT):
@@ -248,3 +250,4 @@
         self._seq = listing.seq
         self._told = True
         self._changed(ListKind.WHOLE if listing.whole else ListKind.PATCH, listing.entries)
+        self.heard.set()
--- a/cometusher/fleet/process.py
+++ b/cometusher/fleet/process.py
@@ -44,7 +44,8 @@
     status: int  # to read from
     log: int  # to read from
     lifeline: int  # to hold open
-    version: str
+    spec: InstanceSpec  # what it runs with
+    told: InstanceSpec  # ...and what it was told last, before its word on that
     figures: dict[str, Any] = field(default_factory=dict)
     rest: bytes = b""  # of a status line that is not whole
 
@@ -165,4 +166,4 @@
         os.setpgid(pid, pid)  # here too: whichever comes first
     identity = Identity.of(pid)
     assert identity is not None  # not reaped, so it is there
-    return Child(one.name, generation, pid, identity, pidfd, status, log, lifeline, one.version)
+    return Child(one.name, generation, pid, identity, pidfd, status, log, lifeline, one, one)
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -11,6 +11,7 @@
 import gc
 import logging
 import os
+import resource
 import secrets
 import signal
 import socket
@@ -28,13 +29,13 @@
 from cometusher.fleet.listeners import Listeners, Taken, passed_sockets
 from cometusher.fleet.notify import ServiceManager
 from cometusher.fleet.process import Child
-from cometusher.fleet.spec import FleetSpec, prepare_state, read_spec, write_private
+from cometusher.fleet.spec import FleetSpec, InstanceSpec, prepare_state, read_spec, write_private
 from weldroute.fleet import Action, Done, Exit, Fleet, How, Notice, Phase, Release, Spawn, Step, Tell
 
 log = logging.getLogger(__name__)
 
 TICK = 0.1  # seconds
-LOOK = 1.0  # seconds between looks at processor time and memory
+LOOK = 1.0  # seconds between looks at memory
 PROBE = 1.0  # seconds between readiness checks of a process that is ready...
 PROBE_FRESH = 0.05  # ...and of one that is not yet
 PROBE_TIME = 1.0  # seconds for an answer
@@ -116,7 +117,7 @@
         self._reloads: set[asyncio.Task[None]] = set()
         self._ended = asyncio.Event()
         self._look_at = 0.0
-        self._kills = kernel_kills()
+        self._kills = [kernel_kills()] * 2  # at the last two looks
         self._roster_due = False
         handler = SinkHandler(self.sink, spec.place.name)
         logging.basicConfig(level=logging.INFO, handlers=[handler], force=True)
@@ -205,17 +206,18 @@
         if now >= self._look_at:
             self._look_at = now + LOOK
             self._look(now)
-        self._do(self.fleet.tick(now))
-        if not self._ended.is_set():
-            self.loop.call_later(TICK, self._tick)
-
-    def _look(self, now: float) -> None:
-        """Processor time of the silent, and memory of all."""
         for name, generation in self.fleet.suspects(now):
             child = self.children.get((name, generation))
             stat = read_stat(child.pid) if child is not None else None
             if stat is not None:
                 self.fleet.cpu(now, name, generation, stat.cpu)
+        self._do(self.fleet.tick(now))
+        if not self._ended.is_set():
+            self.loop.call_later(TICK, self._tick)
+
+    def _look(self, now: float) -> None:
+        """Memory of all, and what the kernel has killed."""
+        self._kills = [self._kills[1], kernel_kills()]
         for child in list(self.children.values()):
             one = self.spec.instances.get(child.name)
             limit = one.memory_mb * 1024 * 1024 if one is not None else 0
@@ -277,9 +279,14 @@
         if child is None:
             return
         if action.how is How.RELOAD:
-            one = self.spec.instances[action.name]
-            write_private(self.spec.place.instance_file(action.name), one.content)
-            child.version = one.version
+            # One that is no longer in the file will be removed; it has nothing to take over.
+            child.told = self.spec.instances.get(action.name, child.spec)
+            try:
+                write_private(self.spec.place.instance_file(action.name), child.told.content)
+            except OSError as fault:
+                text = f"its file can't be written: {fault.strerror}"
+                self._do(self.fleet.reloaded(self.loop.time(), action.name, action.generation, text))
+                return
         child.signal(SIGNALS[action.how])
 
     # ---- processes -----------------------------------------------------------------------
@@ -319,6 +326,8 @@
             self._do(self.fleet.ready(now, child.name, child.generation))
         elif event == "reloaded":
             why = values.get("why")
+            if why is None:
+                child.spec = child.told
             self._do(self.fleet.reloaded(now, child.name, child.generation, None if why is None else str(why)))
 
     async def _probe(self, child: Child) -> None:
@@ -358,9 +367,8 @@
         code = os.waitstatus_to_exitcode(status)
         if code >= 0:
             return Exit(code=code)
-        kills = kernel_kills()
-        by_kernel = -code == signal.SIGKILL and kills > self._kills
-        self._kills = kills
+        # Counted for the whole machine: told apart by time, so another's end for memory could pass for ours.
+        by_kernel = -code == signal.SIGKILL and kernel_kills() > self._kills[0]
         return Exit(signal=-code, out_of_memory=by_kernel)
 
     def _write_roster(self) -> None:
@@ -406,19 +414,32 @@
         self.manager.reloading()
         old, self.spec = self.spec, fresh
         self.fleet.policy = fresh.policy
-        steps: list[tuple[str, Step]] = [(n, Step.REMOVE) for n in old.instances if n not in fresh.instances]
-        now = self.loop.time()
+        steps = [(name, Step.REMOVE) for name in old.instances if name not in fresh.instances]
         for name, one in fresh.instances.items():
-            if name not in old.instances:
-                self.fleet.add(now, name)
-                steps.append((name, Step.START))
-            elif old.instances[name].version != one.version or old.instances[name].sockets != one.sockets:
-                steps.append((name, Step.REPLACE if old.instances[name].needs_restart(one) else Step.RELOAD))
+            step = self._step_to(one, old.instances.get(name))
+            if step is not None:
+                steps.append((name, step))
+        now = self.loop.time()
         log.info("the configuration was read again; %d instances change", len(steps), extra={"event": "reload"})
         done = await self._finish(self.fleet.reload(now, steps))
         self.manager.ready(done.text)
         return done
 
+    def _step_to(self, one: InstanceSpec, before: InstanceSpec | None) -> Step | None:
+        """The least that brings an instance to a configuration.
+
+        What its process runs with counts, not what the file said last: a reload that halted has left some behind.
+        """
+        if before is None:
+            return Step.START
+        instance = self.fleet.instances.get(one.name)
+        current = instance.current if instance is not None else None
+        child = self.children.get((one.name, current.generation)) if current is not None else None
+        runs = child.spec if child is not None else before
+        if runs.version == one.version and runs.sockets == one.sockets:
+            return None
+        return Step.REPLACE if runs.needs_restart(one) else Step.RELOAD
+
     def _check_change(self, fresh: FleetSpec) -> None:
         """Raise for what can't change while the fleet runs, and take the addresses of what is added."""
         old = self.spec
@@ -496,7 +517,7 @@
             one = self.spec.instances.get(name)
             row["listen"] = "{}:{}".format(*one.listen) if one is not None else None
             row["pid"] = child.pid if child else None
-            row["version"] = child.version if child else None
+            row["version"] = child.spec.version if child else None
             row["memory"] = resident(child.pid) if child else 0
             row["descriptors"] = descriptors(child.pid) if child else 0
             row["requests"] = child.figures if child else {}
@@ -529,6 +550,9 @@
 def run(spec: FleetSpec, names: list[str], environ: Mapping[str, str], tell: StartTold) -> None:
     """Hold the state directory and run the fleet in the foreground; raises CannotStart or ConfigError."""
     signal.signal(signal.SIGHUP, signal.SIG_IGN)  # until there is something to reload
+    # Five descriptors an instance: the usual limit would end at two hundred.
+    hard = resource.getrlimit(resource.RLIMIT_NOFILE)[1]
+    resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
     prepare_state(spec.place.state)
     lock = StateLock(spec.place.lock_file, spec.place.pid_file)
     try:
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 import socket
 import time
@@ -50,6 +51,7 @@
 
 READY_PATH = b"/up"
 SWEEP = 0.1  # seconds between looks at idle connections and time limits
+FIRST_LIST = 2.0  # seconds that a process with a listener of others waits for its first list
 REPORT = 10.0  # seconds between lines of figures in the log
 DRAIN_FIRST = 0.7  # seconds after the order to stop in which requests come that must have their whole time
 DRAIN_LONGEST = 3.0  # seconds of a caller's time that the end by force waits for, at most
@@ -135,10 +137,25 @@
 
     # ---- life ----------------------------------------------------------------------------
 
-    def start(self, listener: socket.socket | None = None) -> None:
-        """Listen, on the address of the configuration or a listener that is handed in, and follow discovery."""
-        self._dispatch(None, lambda now: self.balancer.start(now))
+    def start(self) -> None:
+        """Listen on the address of the configuration, and follow discovery."""
+        self.callers.listen(self.config.listen)
+        self._follow()
+
+    async def start_on(self, listener: socket.socket) -> None:
+        """Follow discovery, and listen on what is handed in as soon as there is a list, or none to be had.
+
+        Guards against refusing what another process of the same listener could have served: one that knows no
+        backend yet has nothing to send to. Harm: with discovery silent, the start takes FIRST_LIST longer.
+        """
+        self._follow()
+        if not self.backends.known():
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(self.discovery.heard.wait(), FIRST_LIST)
         self.callers.listen(self.config.listen, listener)
+
+    def _follow(self) -> None:
+        self._dispatch(None, lambda now: self.balancer.start(now))
         self.discovery.start()
         self.loop.call_later(SWEEP, self._sweep)
 
--- a/cometusher/service.py
+++ b/cometusher/service.py
@@ -58,7 +58,10 @@
         loop.add_signal_handler(number, stop.set)
     proxy = Proxy(settings)
     loop.add_signal_handler(signal.SIGHUP, read_again, proxy, parent)
-    proxy.start(listener)
+    if listener is None:
+        proxy.start()
+    else:
+        await proxy.start_on(listener)
     # What is alive now lives on: full collections need not walk it.
     gc.collect()
     gc.freeze()
--- a/standins/faulty.py
+++ b/standins/faulty.py
@@ -8,6 +8,7 @@
     mute         listens and says nothing: never ready
     stubborn     ready, answers, and ignores SIGTERM
     deaf         ready; beats on, but answers nothing after its first check
+    busy         ready; computes for a second and a half after its first check, and hears nothing meanwhile
     flag FILE    ok, unless FILE is there: then it ends at once with code 5
     stuck        ready, and then neither reads nor hears anything any more
     loud N       ok, and writes N lines of rubbish to standard output
@@ -21,6 +22,7 @@
 import signal
 import socket
 import sys
+import time
 from pathlib import Path
 
 LISTENER, STATUS, LIFELINE = 3, 4, 5
@@ -77,6 +79,10 @@
             answered += answer(listener)
             if answered and mode == "exits-later":
                 return 4
+            if answered == 1 and mode == "busy":
+                until = time.process_time() + 1.5
+                while time.process_time() < until:
+                    pass
             if answered and mode == "stuck":
                 signal.pthread_sigmask(signal.SIG_BLOCK, signal.valid_signals())
                 signal.sigwait([signal.SIGUSR2])  # which nobody sends
--- a/tests/loopback/test_fleet_control.py
+++ b/tests/loopback/test_fleet_control.py
@@ -19,6 +19,7 @@
 
 from cometusher.fleet import control
 from cometusher.fleet.control import ControlServer, ask
+from standins.discovery import HostList
 from standins.load import Kind, Load
 from standins.ports import free_ports
 
@@ -82,6 +83,30 @@
     eventually(lambda: "0 instances change" in fleet.logged())
 
 
+def test_one_that_is_removed_and_added_again_behind_a_restart_is_there(fleet: FleetRig) -> None:
+    """Two reloads wait for a restart; the first takes an instance out, the second brings it back."""
+    fleet.policy["at_once"] = 1
+    fleet.add("x", *(f"p{i}" for i in range(3)), mode="ok")
+    process = fleet.start()
+    before = fleet.pids()
+    text = fleet.file.read_text()
+    restart = subprocess.Popen(
+        fleet.command("fleet", "restart", "-c", str(fleet.file)), cwd=fleet.folder, stdout=subprocess.DEVNULL,
+        env=os.environ | {"PYTHONPATH": str(Path(__file__).parent.parent.parent)},
+    )
+    eventually(lambda: any(row["generation"] == 2 for row in fleet.status().values()))
+    x = fleet.instances.pop("x")
+    fleet.write()
+    process.send_signal(signal.SIGHUP)
+    eventually(lambda: "1 instances change" in fleet.logged())
+    fleet.instances["x"] = x
+    fleet.file.write_text(text)
+    assert fleet.fleet("reload").returncode == 0
+    assert restart.wait(timeout=60) == 0
+    eventually(lambda: fleet.states() == {"ready"})
+    assert set(fleet.status()) == set(before) and fleet.pids()["x"] != before["x"]
+
+
 def test_a_reload_whose_new_port_is_taken_changes_nothing(fleet: FleetRig) -> None:
     fleet.add("a", mode="ok")
     fleet.start()
@@ -128,14 +153,15 @@
 
 
 def test_a_rolling_restart_under_load_loses_and_refuses_nothing(fleet: FleetRig) -> None:
-    """Also no connection: the fresh process has the listener before the old one leaves it."""
+    """Also no connection: the fresh process has the listener before the old one leaves it, and a list of backends
+    before it takes the first request."""
 
     async def test() -> None:
         backend = Backend(1, serve_ok)
         await backend.start()
-        path = fleet.folder / "proxy.json"
-        config = orjson.loads(path.read_bytes()) | {"known": {"seq": 1, "whole": True, "hosts": [backend.entry()]}}
-        path.write_bytes(orjson.dumps(config))
+        hosts = HostList([backend.entry()])
+        await hosts.start()
+        fleet.common["discovery"] = f"127.0.0.1:{hosts.port}"
         fleet.add("a", "b")
         await asyncio.to_thread(fleet.start)
         fronts = [("127.0.0.1", fleet.port(name)) for name in ("a", "b")]
@@ -154,6 +180,7 @@
         figures = load.figures
         assert figures.sent == figures.served and not figures.unreachable and not figures.lost, figures
         await backend.stop()
+        await hosts.stop()
 
     asyncio.run(test())
 
--- a/tests/loopback/test_fleet_lives.py
+++ b/tests/loopback/test_fleet_lives.py
@@ -91,6 +91,18 @@
     assert fleet.status()["a"]["last_exit"] == "signal 9"
 
 
+def test_one_that_is_busy_is_left_to_its_work(fleet: FleetRig) -> None:
+    """It answers nothing for longer than `hang_after`, like one that is stopped, but uses the processor."""
+    fleet.policy |= {"hang_after": 0.6, "busy_limit": 60.0}
+    fleet.add("x", mode="busy")
+    fleet.write()
+    fleet.launch()
+    eventually(lambda: fleet.states() == {"busy"})
+    eventually(lambda: fleet.states() == {"ready"})
+    row = fleet.status()["x"]
+    assert row["restarts"] == 0 and row["generation"] == 1
+
+
 def test_one_that_beats_but_answers_nothing_is_replaced(fleet: FleetRig) -> None:
     fleet.policy |= {"hang_after": 0.5, "busy_limit": 1.5, "budget": 1}
     fleet.add("x", mode="deaf")
@@ -198,6 +210,26 @@
     assert not set(fleet.pids().values()) & set(before.values())
 
 
+def test_a_reload_that_halted_goes_on_where_it_stopped_when_repeated(fleet: FleetRig) -> None:
+    flag = fleet.folder / "bad"
+    fleet.policy["at_once"] = 1
+    fleet.add(*(f"x{i}" for i in range(3)), mode="flag", value=str(flag))
+    fleet.start()
+    before = fleet.pids()
+    for values in fleet.instances.values():
+        values["sockets"] = 512
+    fleet.write()
+    flag.touch()
+    done = fleet.fleet("reload")
+    assert done.returncode == 1 and b"halted: 2 left as they were" in done.stderr
+    assert fleet.pids() == before
+    flag.unlink()
+    done = fleet.fleet("reload")
+    assert done.returncode == 0 and b"3 of 3 done" in done.stdout
+    assert not set(fleet.pids().values()) & set(before.values())
+    assert b"0 of 0 done" in fleet.fleet("reload").stdout
+
+
 def test_instances_leave_nothing_of_the_supervisor_open(fleet: FleetRig) -> None:
     """An instance that held another's lifeline, or the lock, would keep it alive beyond its supervisor."""
     fleet.add("a", "b", "c")
--- a/weldroute/fleet.py
+++ b/weldroute/fleet.py
@@ -35,6 +35,7 @@
 from random import Random
 from typing import Any
 
+LEAST = {"hang_after": 0.5, "ready_within": 0.1}  # below that the supervisor's own pace would decide
 PAUSE = 2.0  # seconds between two ticks from which on the supervisor itself was stopped
 
 
@@ -100,9 +101,9 @@
         """Raise ValueError naming the first field that makes no sense."""
         for item in fields(self):
             value = getattr(self, item.name)
-            least = 1 if item.name in ("start_at_once", "at_once") else 0
+            least = 1.0 if item.name in ("start_at_once", "at_once") else LEAST.get(item.name, 0.0)
             if not math.isfinite(value) or value < least:
-                raise ValueError(f"{item.name}: {value!r} is not a number of {least} or more")
+                raise ValueError(f"{item.name}: {value!r} is not a number of {least:g} or more")
         if self.jitter >= 1.0:
             raise ValueError("jitter: must be below 1")
         if self.backoff_to < self.backoff_from:
@@ -305,7 +306,10 @@
         return self._roll(now, "restart", [(name, Step.REPLACE) for name in names])
 
     def reload(self, now: float, steps: Iterable[tuple[str, Step]]) -> tuple[int, list[Action]]:
-        """Bring instances to a new configuration, each by the step that it needs, a few at a time."""
+        """Bring instances to a new configuration, each by the step that it needs, a few at a time.
+
+        One that is to start and is not in the fleet is added: a removal before it may still be under way.
+        """
         return self._roll(now, "reload", list(steps))
 
     def shutdown(self, now: float) -> list[Action]:
@@ -585,8 +589,10 @@
         while operation.todo and len(operation.doing) < operation.at_once:
             name, step = operation.todo.popleft()
             if name not in self.instances:
-                operation.total -= 1
-                continue
+                if step is not Step.START:
+                    operation.total -= 1
+                    continue
+                self.add(now, name)
             self._begin_step(now, operation, name, step)
             self._check_step(now, operation, name)
 
