Instances show their names; a removed one leaves no file; checks and pauses tested

ps showed forty times the supervisor's command: each instance has its name in comm now. Tests: a check answered by the wrong process of a shared listener, and a supervisor that is stopped for longer than hang_after.

--- a/cometusher/fleet/process.py
+++ b/cometusher/fleet/process.py
@@ -115,6 +115,8 @@
             signal.pthread_sigmask(signal.SIG_SETMASK, mask)
             os.chdir("/")
             os.execvpe(command[0], command, environ)
+        # What ps and top show: else all would have the supervisor's name (comm of proc(5), 15 bytes).
+        Path("/proc/self/comm").write_bytes(one.name.encode()[:15])
         os.environ.clear()
         os.environ.update(environ)
         signal.pthread_sigmask(signal.SIG_SETMASK, mask)
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -422,6 +422,10 @@
         now = self.loop.time()
         log.info("the configuration was read again; %d instances change", len(steps), extra={"event": "reload"})
         done = await self._finish(self.fleet.reload(now, steps))
+        for name in old.instances:
+            if name not in self.spec.instances and name not in self.fleet.instances:
+                with contextlib.suppress(OSError):
+                    self.spec.place.instance_file(name).unlink()
         self.manager.ready(done.text)
         return done
 
--- a/tests/loopback/test_fleet_control.py
+++ b/tests/loopback/test_fleet_control.py
@@ -19,6 +19,7 @@
 
 from cometusher.fleet import control
 from cometusher.fleet.control import ControlServer, ask
+from cometusher.fleet.supervisor import is_up
 from standins.discovery import HostList
 from standins.load import Kind, Load
 from standins.ports import free_ports
@@ -77,6 +78,8 @@
     assert after["told"]["pid"] == before["told"]["pid"] and after["told"]["version"] != before["told"]["version"]
     assert after["replaced"]["pid"] != before["replaced"]["pid"]
     assert "discovery is at 127.0.0.1:10" in fleet.logged()
+    files = {path.name for path in fleet.state.glob("instance-*.json")}
+    assert files == {f"instance-{name}.json" for name in after}
     with pytest.raises(ConnectionRefusedError):
         socket.create_connection(("127.0.0.1", int(before["removed"]["listen"].rpartition(":")[2])))
     process.send_signal(signal.SIGHUP)
@@ -185,6 +188,33 @@
     asyncio.run(test())
 
 
+@pytest.mark.parametrize(
+    ("answer", "up"),
+    [
+        (b"HTTP/1.1 200 OK\r\nX-Instance: a/2\r\n\r\n", True),
+        (b"HTTP/1.1 200 OK\r\nX-Instance: a/1\r\n\r\n", False),  # the old process of the same listener
+        (b"HTTP/1.1 200 OK\r\n\r\n", True),  # a command of the operators' own
+        (b"HTTP/1.1 503 Busy\r\nX-Instance: a/2\r\n\r\n", False),
+        (b"\x00\xff", False),
+        (b"", False),
+    ],
+)
+def test_a_check_counts_only_when_the_process_that_is_meant_answers(answer: bytes, up: bool) -> None:
+    async def test() -> None:
+        async def reply(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(answer)
+            writer.close()
+
+        server = await asyncio.start_server(reply, "127.0.0.1", 0)
+        address = ("127.0.0.1", int(server.sockets[0].getsockname()[1]))
+        assert await is_up(address, b"a/2") is up
+        server.close()
+        assert not await is_up(address, b"a/2")
+
+    asyncio.run(test())
+
+
 # ---- the control socket ------------------------------------------------------------------
 
 
--- a/tests/loopback/test_fleet_lives.py
+++ b/tests/loopback/test_fleet_lives.py
@@ -91,6 +91,19 @@
     assert fleet.status()["a"]["last_exit"] == "signal 9"
 
 
+def test_a_pause_of_the_supervisor_is_held_against_nobody(fleet: FleetRig) -> None:
+    fleet.policy["hang_after"] = 1.0
+    fleet.add("a", "b")
+    process = fleet.start()
+    before = fleet.pids()
+    process.send_signal(signal.SIGSTOP)
+    time.sleep(3.5)  # longer than hang_after and than what passes for a slow tick
+    process.send_signal(signal.SIGCONT)
+    eventually(lambda: "the supervisor itself stood still" in fleet.logged())
+    eventually(lambda: fleet.states() == {"ready"})
+    assert fleet.pids() == before
+
+
 def test_one_that_is_busy_is_left_to_its_work(fleet: FleetRig) -> None:
     """It answers nothing for longer than `hang_after`, like one that is stopped, but uses the processor."""
     fleet.policy |= {"hang_after": 0.6, "busy_limit": 60.0}
