One seam under the proxy, and a virtual loop and network that protocols can't tell from real ones

Timing failures could not be reproduced. First part of the virtual clock: clocks, listeners and the look at readiness come from cometusher/seam.py, which the proxy is handed; cometusher/virtual has an event loop whose time jumps, and TCP's manners in memory (segments cut by the seed, windows, half-close, resets, full queues, descriptors, silent and paused machines).

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -8,13 +8,14 @@
 
 import asyncio
 import logging
-import select
 from collections import deque
+from collections.abc import Callable
 from typing import Protocol, cast
 
 from cometusher.budget import Descriptors
 from cometusher.config import Address
 from cometusher.http1 import Malformed, Response, ResponseParser
+from cometusher.seam import Network
 from weldroute import Outcome
 from weldroute.model import ServerId
 
@@ -85,7 +86,7 @@
         self.heard = 0.0
         self._parser = ResponseParser()
         self._begun = 0.0  # when the first byte of the answer came; 0 while there is none
-        self._descriptor = -1
+        self._pending: Callable[[], bool] = lambda: False
 
     # ---- the transport's calls -----------------------------------------------------------
 
@@ -93,7 +94,7 @@
         transport = cast(asyncio.Transport, transport)  # uvloop's are not its subclasses
         self.transport = transport
         self.made = True
-        self._descriptor = transport.get_extra_info("socket").fileno()
+        self._pending = self._pool.network.pending(transport)
 
     def data_received(self, data: bytes) -> None:
         if self.attempt is None:
@@ -150,9 +151,7 @@
         """
         if self.transport is None or self.transport.is_closing():
             return False
-        poller = select.poll()
-        poller.register(self._descriptor, select.POLLIN)
-        return not poller.poll(0)
+        return not self._pending()
 
     # ---- the answer ----------------------------------------------------------------------
 
@@ -244,12 +243,14 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
+        network: Network,
         sink: AttemptSink,
         descriptors: Descriptors,
         dial_timeout: float,
         idle_for: float,
     ) -> None:
         self.loop = loop
+        self.network = network
         self.sink = sink
         self._descriptors = descriptors
         self._dial_timeout = dial_timeout
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -5,11 +5,9 @@
 import asyncio
 import contextlib
 import logging
-import socket
-from typing import Protocol, cast
+from typing import Any, Protocol, cast
 
 from cometusher.budget import BodyMemory, Descriptors
-from cometusher.config import Address
 from cometusher.http1 import (
     CONTINUE,
     MAX_BODY,
@@ -19,10 +17,10 @@
     RequestParser,
     response_head,
 )
+from cometusher.seam import Listener, Network
 
 log = logging.getLogger(__name__)
 
-BACKLOG = 4096
 ACCEPTS = 64  # at one wake-up, so that accepting can't starve what is under way
 REQUEST_TIME = 2.1  # seconds for a whole request, from its first byte or, for the first, from connecting
 WRITE_STALL = 5.0  # seconds in which a caller takes nothing of an answer
@@ -38,20 +36,6 @@
 DRAIN_READ = 0.25  # seconds for the rest of a request once no further one is wanted
 
 
-def open_listener(address: Address) -> socket.socket:
-    """A socket that listens on an address; raises OSError."""
-    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
-    listener = socket.socket(family, socket.SOCK_STREAM)
-    try:
-        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        listener.bind(address)
-        listener.listen(BACKLOG)
-    except OSError:
-        listener.close()
-        raise
-    return listener
-
-
 class Taken(Protocol):
     """A request that was handed on, as its connection sees it."""
 
@@ -322,9 +306,11 @@
     """The listener and all callers' connections."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, handler: RequestHandler, descriptors: Descriptors, memory: BodyMemory
+        self, loop: asyncio.AbstractEventLoop, network: Network, handler: RequestHandler, descriptors: Descriptors,
+        memory: BodyMemory,
     ) -> None:
         self.loop = loop
+        self._network = network
         self.handler = handler
         self.memory = memory
         self.leaving = False  # nothing new is listened for
@@ -333,7 +319,7 @@
         self.empty = asyncio.Event()
         self._draining = False
         self._descriptors = descriptors
-        self._socket: socket.socket | None = None
+        self._listener: Listener | None = None
         self._accepting = False
         self._connections: set[CallerConnection] = set()
         self._idle: dict[CallerConnection, None] = {}  # between requests, longest idle first
@@ -344,28 +330,27 @@
 
     # ---- the listener --------------------------------------------------------------------
 
-    def listen(self, address: Address, listener: socket.socket | None = None) -> None:
-        """Start to accept, on a listener that is handed in or on one of its own."""
-        self._socket = listener or open_listener(address)
-        self._socket.setblocking(False)
+    def listen(self, listener: Listener) -> None:
+        """Start to accept."""
+        self._listener = listener
         self._resume_accepting()
 
     @property
     def port(self) -> int:
         """The port that is listened on."""
-        assert self._socket is not None
-        return int(self._socket.getsockname()[1])
+        assert self._listener is not None
+        return self._listener.port
 
     def _accept(self) -> None:
         # Not the event loop's own listener: at EMFILE that accepts and closes, which loses requests.
         for _ in range(ACCEPTS):
-            if self._socket is None:
+            if self._listener is None:
                 return
             if not self._descriptors.take_caller():
                 self._pause_accepting()
                 return
             try:
-                connection, _ = self._socket.accept()
+                connection = self._listener.accept()
             except (BlockingIOError, InterruptedError, ConnectionAbortedError):
                 self._descriptors.give_caller()
                 return
@@ -376,15 +361,14 @@
                 self._pause_accepting()
                 self.loop.call_later(0.05, self._resume_accepting)
                 return
-            connection.setblocking(False)
             task = self.loop.create_task(self._adopt(connection))
             self._tasks.add(task)
             task.add_done_callback(self._tasks.discard)
 
-    async def _adopt(self, connection: socket.socket) -> None:
+    async def _adopt(self, connection: Any) -> None:
         protocol = CallerConnection(self)
         try:
-            await self.loop.connect_accepted_socket(lambda: protocol, connection)
+            await self._network.attach(connection, lambda: protocol)
         except OSError as fault:
             log.info("a new connection failed: %s", fault)
             if protocol not in self._connections:
@@ -392,19 +376,19 @@
                 self._descriptors.give_caller()
 
     def _pause_accepting(self) -> None:
-        if self._accepting and self._socket is not None:
+        if self._accepting and self._listener is not None:
             self._accepting = False
             self.crowded = True
-            self.loop.remove_reader(self._socket.fileno())
+            self._listener.unwatch()
             log.warning(
                 "no descriptor for new connections: %d of %d in use", self._descriptors.used, self._descriptors.limit
             )
 
     def _resume_accepting(self) -> None:
-        if not self._accepting and self._socket is not None:
+        if not self._accepting and self._listener is not None:
             self._accepting = True
             self.crowded = False
-            self.loop.add_reader(self._socket.fileno(), self._accept)
+            self._listener.watch(self._accept)
 
     # ---- connections ---------------------------------------------------------------------
 
@@ -491,14 +475,14 @@
         until = self.loop.time() + keep
         await asyncio.sleep(DRAIN_ACCEPT)
         self.leaving = True
-        if self._socket is not None:
+        if self._listener is not None:
             self._accept()
             if self._accepting:
-                self.loop.remove_reader(self._socket.fileno())
+                self._listener.unwatch()
             self._accepting = False
             self.crowded = False
-            self._socket.close()
-            self._socket = None
+            self._listener.close()
+            self._listener = None
         while self._tasks:
             await asyncio.wait(self._tasks)
         await self._emptied(max(0.0, until - self.loop.time()))
--- a/cometusher/fleet/listeners.py
+++ b/cometusher/fleet/listeners.py
@@ -15,8 +15,8 @@
 from collections.abc import Mapping
 from pathlib import Path
 
-from cometusher.callers import open_listener
 from cometusher.config import Address
+from cometusher.seam import open_listener
 
 log = logging.getLogger(__name__)
 
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -10,7 +10,6 @@
 import contextlib
 import logging
 import socket
-import time
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from random import Random
@@ -30,6 +29,7 @@
     parse_budget,
     request_head,
 )
+from cometusher.seam import Network, SocketNetwork
 from weldroute import (
     Action,
     Balancer,
@@ -63,12 +63,13 @@
 class Clock:
     """Unix time that never jumps, so that it compares with the birth of backends and with itself."""
 
-    def __init__(self) -> None:
-        self._offset = time.time() - time.monotonic()
+    def __init__(self, network: Network) -> None:
+        self._monotonic = network.monotonic
+        self._offset = network.unix_time() - network.monotonic()
 
     def now(self) -> float:
         """Seconds."""
-        return self._offset + time.monotonic()
+        return self._offset + self._monotonic()
 
 
 class Exchange:
@@ -103,17 +104,19 @@
 class Proxy:
     """One proxy: its parts, and the dispatch between them and the module."""
 
-    def __init__(self, config: Config) -> None:
+    def __init__(self, config: Config, network: Network | None = None) -> None:
         loop = asyncio.get_running_loop()
         settings = config.settings
         self.loop = loop
-        self.clock = Clock()
+        self.network = network or SocketNetwork(loop)
+        self.clock = Clock(self.network)
         self.config = config
         self.descriptors = Descriptors(config.sockets)
         self.memory = BodyMemory(config.memory_mb)
-        self.callers = Callers(loop, self, self.descriptors, self.memory)
+        self.callers = Callers(loop, self.network, self, self.descriptors, self.memory)
         self.backends = Backends(
-            loop, self, self.descriptors, settings.limits.connect_timeout, settings.limits.connection_idle
+            loop, self.network, self, self.descriptors, settings.limits.connect_timeout,
+            settings.limits.connection_idle,
         )
         self.balancer = Balancer(settings, config.seed)
         self._rng = Random(config.seed + 1)  # jitter of the proxy's own; the module's stays reproducible
@@ -139,7 +142,7 @@
 
     def start(self) -> None:
         """Listen on the address of the configuration, and follow discovery."""
-        self.callers.listen(self.config.listen)
+        self.callers.listen(self.network.listen(self.config.listen))
         self._follow()
 
     async def start_on(self, listener: socket.socket) -> None:
@@ -152,7 +155,7 @@
         if not self.backends.known():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.discovery.heard.wait(), FIRST_LIST)
-        self.callers.listen(self.config.listen, listener)
+        self.callers.listen(self.network.adopt(listener))
 
     def _follow(self) -> None:
         self._dispatch(None, lambda now: self.balancer.start(now))
--- /dev/null
+++ b/cometusher/seam.py
@@ -0,0 +1,134 @@
+"""What the network code needs of its surroundings beyond the event loop: clocks, listeners, a look at readiness.
+
+The one place under a proxy that touches `time`, `select` and `socket`. Timers, connecting and reading come from the
+event loop that runs the code. Handed other surroundings and another loop, the same code runs on another clock and
+another network.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import select
+import socket
+import time
+from collections.abc import Callable
+from typing import Any, Protocol
+
+from cometusher.config import Address
+
+BACKLOG = 4096
+
+
+class Listener(Protocol):
+    """A place where callers connect."""
+
+    @property
+    def port(self) -> int:
+        """The port."""
+
+    def watch(self, waits: Callable[[], None]) -> None:
+        """Call `waits` whenever a connection waits, until `unwatch`."""
+
+    def unwatch(self) -> None:
+        """Leave connections waiting."""
+
+    def accept(self) -> Any:
+        """A connection, for `Network.attach`; raises BlockingIOError where none waits, and OSError."""
+
+    def close(self) -> None:
+        """Listen no more; what waits is reset, unless another holds the same listener."""
+
+
+class Network(Protocol):
+    """The surroundings of one proxy."""
+
+    def unix_time(self) -> float:
+        """Seconds since 1970, of a clock that may be set."""
+
+    def monotonic(self) -> float:
+        """Seconds of a clock that never steps back."""
+
+    def listen(self, address: Address) -> Listener:
+        """Listen; raises OSError."""
+
+    def adopt(self, listener: socket.socket) -> Listener:
+        """A listener that somebody else has opened."""
+
+    async def attach(self, connection: Any, protocol: Callable[[], asyncio.Protocol]) -> None:
+        """Give an accepted connection to the event loop; raises OSError."""
+
+    def pending(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """Tells, whenever asked, whether a connection has something to read, or its end, that was not read yet."""
+
+
+class SocketListener:
+    """A listening socket."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop, listener: socket.socket) -> None:
+        self._loop = loop
+        self._socket = listener
+        listener.setblocking(False)
+
+    @property
+    def port(self) -> int:
+        """The port."""
+        return int(self._socket.getsockname()[1])
+
+    def watch(self, waits: Callable[[], None]) -> None:
+        """Call `waits` whenever a connection waits, until `unwatch`."""
+        self._loop.add_reader(self._socket.fileno(), waits)
+
+    def unwatch(self) -> None:
+        """Leave connections waiting."""
+        self._loop.remove_reader(self._socket.fileno())
+
+    def accept(self) -> socket.socket:
+        """A connection; raises BlockingIOError where none waits, and OSError."""
+        connection, _ = self._socket.accept()
+        connection.setblocking(False)
+        return connection
+
+    def close(self) -> None:
+        """Close this copy of the socket."""
+        self._socket.close()
+
+
+class SocketNetwork:
+    """The real surroundings: the system's clocks and sockets."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        self._loop = loop
+        self.unix_time = time.time
+        self.monotonic = time.monotonic
+
+    def listen(self, address: Address) -> Listener:
+        """Listen; raises OSError."""
+        return SocketListener(self._loop, open_listener(address))
+
+    def adopt(self, listener: socket.socket) -> Listener:
+        """A listener that somebody else has opened."""
+        return SocketListener(self._loop, listener)
+
+    async def attach(self, connection: socket.socket, protocol: Callable[[], asyncio.Protocol]) -> None:
+        """Give an accepted connection to the event loop; raises OSError."""
+        await self._loop.connect_accepted_socket(protocol, connection)
+
+    def pending(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """One poll object a connection: it costs a system call to ask, and nothing to keep."""
+        poller = select.poll()
+        poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
+        return lambda: bool(poller.poll(0))
+
+
+def open_listener(address: Address) -> socket.socket:
+    """A socket that listens on an address; raises OSError."""
+    family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
+    listener = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(address)
+        listener.listen(BACKLOG)
+    except OSError:
+        listener.close()
+        raise
+    return listener
--- /dev/null
+++ b/cometusher/virtual/loop.py
@@ -0,0 +1,276 @@
+"""A deterministic event loop for asyncio: time is virtual, and jumps to the next event.
+
+What asyncio guarantees holds here too: callbacks run in the order in which they were registered, timers in the
+order of their times, and a round of the loop runs what was ready when it began. What asyncio leaves open, the order
+of timers of the same time, the seed decides; two runs with one seed do the same.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import contextvars
+import heapq
+import signal
+import sys
+from collections.abc import Callable, Coroutine, Generator
+from random import Random
+from types import FrameType
+from typing import TYPE_CHECKING, Any, TypeVar
+
+if TYPE_CHECKING:
+    from cometusher.virtual.network import Machine, VirtualNetwork
+
+T = TypeVar("T")
+
+#: The machine that the running code belongs to; tasks and callbacks inherit it with their context.
+MACHINE: contextvars.ContextVar[Machine | None] = contextvars.ContextVar("machine", default=None)
+STUCK = 10.0  # seconds of processor time after which one callback counts as one that never yields
+
+
+class Deadlock(Exception):
+    """Nothing will ever happen any more, and what is waited for has not."""
+
+
+class Stuck(BaseException):
+    """A callback does not return; the text says where it was. Not an Exception, for code that catches these."""
+
+
+#: Typed loosely: what the abstract loop asks for and a world has no use for (subprocesses, threads, signals, name
+#: look-ups) stays unimplemented, and raises NotImplementedError there.
+_Base: Any = asyncio.AbstractEventLoop
+
+
+class VirtualLoop(_Base):  # type: ignore[misc]
+    """One world's loop; not thread-safe, and needing no thread."""
+
+    def __init__(self, seed: int = 0) -> None:
+        self.rng = Random(seed)
+        self.network: VirtualNetwork | None = None
+        self.faults: list[dict[str, Any]] = []  # what went to the exception handler
+        self.steps = 0
+        self._now = 0.0
+        self._ready: collections.deque[asyncio.Handle] = collections.deque()
+        self._timers: list[tuple[float, float, int, asyncio.TimerHandle]] = []
+        self._count = 0
+        self._running = False
+        self._closed = False
+        self._stopping = False
+        self._tasks: set[asyncio.Task[Any]] = set()
+        self._seen_step = -1
+
+    # ---- time ----------------------------------------------------------------------------
+
+    def time(self) -> float:
+        """Seconds since the world began."""
+        return self._now
+
+    def call_soon(
+        self, callback: Callable[..., Any], *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        """Run a callback in the next round."""
+        self._check_open()
+        handle = asyncio.Handle(callback, args, self, context)
+        self._ready.append(handle)
+        return handle
+
+    def call_soon_threadsafe(
+        self, callback: Callable[..., Any], *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.Handle:
+        """There are no threads in a world; the same as `call_soon`."""
+        return self.call_soon(callback, *args, context=context)
+
+    def call_later(
+        self, delay: float, callback: Callable[..., Any], *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.TimerHandle:
+        """Run a callback so many seconds from now."""
+        return self.call_at(self._now + delay, callback, *args, context=context)
+
+    def call_at(
+        self, when: float, callback: Callable[..., Any], *args: Any, context: contextvars.Context | None = None
+    ) -> asyncio.TimerHandle:
+        """Run a callback at a time; of those with the same time, the seed says which is first."""
+        self._check_open()
+        handle = asyncio.TimerHandle(when, callback, args, self, context)
+        self._count += 1
+        heapq.heappush(self._timers, (when, self.rng.random(), self._count, handle))
+        return handle
+
+    def _timer_handle_cancelled(self, handle: asyncio.TimerHandle) -> None:
+        """Cancelled timers are passed over when their time comes."""
+
+    # ---- running -------------------------------------------------------------------------
+
+    def _round(self) -> None:
+        """What is ready now, after a jump to the next timer if nothing is."""
+        while self._timers and self._timers[0][3].cancelled():
+            heapq.heappop(self._timers)
+        if not self._ready:
+            if not self._timers:
+                raise Deadlock("nothing is ready and no timer is set")
+            self._now = max(self._now, self._timers[0][0])
+        while self._timers and self._timers[0][0] <= self._now:
+            handle = heapq.heappop(self._timers)[3]
+            if not handle.cancelled():
+                self._ready.append(handle)
+        for _ in range(len(self._ready)):
+            handle_ = self._ready.popleft()
+            if handle_.cancelled():
+                continue
+            machine = handle_._context.get(MACHINE)  # type: ignore[attr-defined]
+            if machine is not None and machine.holds(handle_):
+                continue
+            self.steps += 1
+            handle_._run()
+
+    def run_forever(self) -> None:
+        """Run until `stop`."""
+        self._check_open()
+        if self._running or asyncio._get_running_loop() is not None:
+            raise RuntimeError("a loop is running already")
+        self._running = True
+        asyncio._set_running_loop(self)
+        before = self._watch()
+        try:
+            while not self._stopping:
+                self._round()
+        finally:
+            self._unwatch(before)
+            asyncio._set_running_loop(None)
+            self._running = self._stopping = False
+
+    def run_until_complete(self, future: Generator[Any, None, T] | Coroutine[Any, Any, T] | asyncio.Future[T]) -> T:
+        """Run until a future is done; returns its result."""
+        task: asyncio.Future[T] = asyncio.ensure_future(future, loop=self)  # type: ignore[arg-type]
+        task.add_done_callback(lambda _: self.stop())
+        try:
+            self.run_forever()
+        except BaseException:
+            if task.done() and not task.cancelled():
+                task.exception()  # it is raised already
+            raise
+        if not task.done():
+            raise RuntimeError("the loop was stopped before the future was done")
+        return task.result()
+
+    def stop(self) -> None:
+        """End after the present round."""
+        self._stopping = True
+
+    def _watch(self) -> Any:
+        """Processor time, not real time: a slow machine does not count as a stuck callback."""
+
+        def look(number: int, frame: FrameType | None) -> None:
+            if self._seen_step == self.steps and frame is not None:
+                raise Stuck(f"a callback never yields: {frame.f_code.co_qualname}, line {frame.f_lineno}")
+            self._seen_step = self.steps
+
+        before = signal.signal(signal.SIGVTALRM, look)
+        signal.setitimer(signal.ITIMER_VIRTUAL, STUCK / 2.0, STUCK / 2.0)
+        return before
+
+    @staticmethod
+    def _unwatch(before: Any) -> None:
+        signal.setitimer(signal.ITIMER_VIRTUAL, 0.0)
+        signal.signal(signal.SIGVTALRM, before)
+
+    def is_running(self) -> bool:
+        """Whether it runs."""
+        return self._running
+
+    def is_closed(self) -> bool:
+        """Whether it was closed."""
+        return self._closed
+
+    def close(self) -> None:
+        """End for good."""
+        if self._running:
+            raise RuntimeError("it runs")
+        self._closed = True
+        self._ready.clear()
+        self._timers.clear()
+
+    def _check_open(self) -> None:
+        if self._closed:
+            raise RuntimeError("Event loop is closed")
+
+    async def shutdown_asyncgens(self) -> None:
+        """No asynchronous generators are kept."""
+
+    async def shutdown_default_executor(self, timeout: float | None = None) -> None:
+        """There is none."""
+
+    # ---- futures and tasks ---------------------------------------------------------------
+
+    def create_future(self) -> asyncio.Future[Any]:
+        """A future of this loop."""
+        return asyncio.Future(loop=self)
+
+    def create_task(
+        self, coro: Coroutine[Any, Any, T], *, name: object = None, context: contextvars.Context | None = None
+    ) -> asyncio.Task[T]:
+        """A task; kept until it is done, so that what is left over can be told."""
+        self._check_open()
+        task = asyncio.Task(coro, loop=self, name=None if name is None else str(name), context=context)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    @property
+    def tasks(self) -> set[asyncio.Task[Any]]:
+        """Tasks that are not done."""
+        return {task for task in self._tasks if not task.done()}
+
+    @property
+    def timers(self) -> int:
+        """Timers that are set."""
+        return sum(not handle.cancelled() for _, _, _, handle in self._timers)
+
+    # ---- faults --------------------------------------------------------------------------
+
+    def get_debug(self) -> bool:
+        """Never: debugging would bring real time in."""
+        return False
+
+    def set_debug(self, enabled: bool) -> None:
+        """Not available."""
+
+    def call_exception_handler(self, context: dict[str, Any]) -> None:
+        """Keep what nobody caught."""
+        self.faults.append(context)
+
+    def default_exception_handler(self, context: dict[str, Any]) -> None:
+        """The same."""
+        self.call_exception_handler(context)
+
+    # ---- the network ---------------------------------------------------------------------
+
+    def _network(self) -> VirtualNetwork:
+        if self.network is None:
+            raise RuntimeError("this loop has no network")
+        return self.network
+
+    async def create_connection(
+        self, protocol_factory: Callable[[], asyncio.BaseProtocol], host: str, port: int, **unused: Any
+    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        """Connect; raises OSError as a socket would."""
+        return await self._network().connect(protocol_factory, (host, port))
+
+    async def create_server(
+        self, protocol_factory: Callable[[], asyncio.BaseProtocol], host: str, port: int, **unused: Any
+    ) -> Any:
+        """Listen, and accept whatever comes."""
+        return self._network().serve(protocol_factory, (host, port))
+
+
+def run(loop: VirtualLoop, main: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine to its end on a loop; what is left over is cancelled, and the loop closed."""
+    try:
+        return loop.run_until_complete(main)
+    finally:
+        left = sorted(loop.tasks, key=lambda task: task.get_name())
+        for task in left:
+            task.cancel()
+        if left and sys.exc_info()[0] is not Stuck:
+            loop.run_until_complete(asyncio.gather(*left, return_exceptions=True))
+        loop.close()
--- /dev/null
+++ b/cometusher/virtual/network.py
@@ -0,0 +1,552 @@
+"""An in-memory network with TCP's manners, on a virtual loop.
+
+Connections have latency, bandwidth and a window; what is written comes in segments that the seed cuts; sides close
+by halves, reset each other, and meet queues that are full, descriptors that are used up and machines that say
+nothing. The rules are those of RFC 9293 as a program sees them through asyncio's transports.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import errno
+import functools
+import os
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from cometusher.config import Address
+from cometusher.seam import Listener
+from cometusher.virtual.loop import MACHINE, VirtualLoop
+
+WINDOW = 64 * 1024  # bytes under way and unread in one direction
+HIGH, LOW = 64 * 1024, 16 * 1024  # asyncio's own marks for its write buffer
+BACKLOG = 128
+SYN_RETRIES = (1.0, 2.0, 4.0, 8.0, 16.0)  # seconds between tries to connect (RFC 6298, 2)
+
+
+def _fault(number: int) -> OSError:
+    return OSError(number, os.strerror(number))
+
+
+@dataclass
+class Link:
+    """What lies between machines; seconds and bytes a second."""
+
+    latency: float = 0.001
+    jitter: float = 0.0  # of latency, drawn for each segment; order is kept
+    bandwidth: float = 1e9
+    cut: float = 0.5  # chance that a write is cut in two anywhere, again and again
+
+
+class Machine:
+    """One process on a machine of its own: an address, descriptors, and whether it runs."""
+
+    def __init__(self, network: VirtualNetwork, address: str, descriptors: int = 1024) -> None:
+        self.network = network
+        self.address = address
+        self.limit = descriptors
+        self.used = 0
+        self.silent = False  # nothing it is sent arrives, and nothing that it sends
+        self._paused = False
+        self._held: deque[asyncio.Handle] = deque()
+
+    def context(self) -> contextvars.Context:
+        """A context in which code runs on this machine; for tasks and callbacks."""
+        context = contextvars.copy_context()
+        context.run(MACHINE.set, self)
+        return context
+
+    def holds(self, handle: asyncio.Handle) -> bool:
+        """Keep a callback for later, while the process is paused."""
+        if self._paused:
+            self._held.append(handle)
+        return self._paused
+
+    def pause(self) -> None:
+        """As by SIGSTOP: the kernel goes on, the process does not."""
+        self._paused = True
+
+    def resume(self) -> None:
+        """Run what has become ready meanwhile, in its order."""
+        self._paused = False
+        self.network.loop._ready.extend(self._held)
+        self._held.clear()
+
+    def take(self) -> None:
+        """Use a descriptor; raises EMFILE."""
+        if self.used >= self.limit:
+            raise _fault(errno.EMFILE)
+        self.used += 1
+
+
+class VirtualTransport(asyncio.Transport):
+    """One end of a connection."""
+
+    def __init__(self, network: VirtualNetwork, machine: Machine | None, here: Address, there: Address) -> None:
+        super().__init__()
+        self._network = network
+        self._loop = network.loop
+        self.machine = machine
+        self._names = {"sockname": here, "peername": there}
+        self._context = machine.context() if machine is not None else contextvars.copy_context()
+        self._protocol: asyncio.Protocol | None = None
+        self.peer: VirtualTransport | None = None
+        self._out = bytearray()  # not taken by the kernel yet
+        self._under_way = 0  # bytes sent and not yet at the peer
+        self._inbox: deque[bytes] = deque()  # at this end, not read
+        self._wire: deque[Callable[[], None]] = deque()  # on the way to the peer, first in first out
+        self._last = 0.0  # when the last of it arrives
+        self._reading = True
+        self._writing_paused = False
+        self._high, self._low = HIGH, LOW
+        self._eof_wanted = self._eof_sent = False
+        self._eof_came = self._eof_told = False
+        self._reset = False
+        self._closing = False
+        self._gone = False  # the descriptor is closed
+        self._due = False  # reading is scheduled
+
+    # ---- what programs call --------------------------------------------------------------
+
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        """Names of both ends; there is no socket."""
+        return self._names.get(name, default)
+
+    def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
+        """Whom to tell."""
+        assert isinstance(protocol, asyncio.Protocol)
+        self._protocol = protocol
+
+    def get_protocol(self) -> asyncio.BaseProtocol:
+        """Who is told."""
+        assert self._protocol is not None
+        return self._protocol
+
+    def is_closing(self) -> bool:
+        """Whether it is closed, or will be."""
+        return self._closing
+
+    def is_reading(self) -> bool:
+        """Whether what comes is told."""
+        return self._reading and not self._closing
+
+    def pause_reading(self) -> None:
+        """Tell nothing more for now."""
+        self._reading = False
+
+    def resume_reading(self) -> None:
+        """Go on telling."""
+        if not self._reading and not self._closing:
+            self._reading = True
+            self._read_soon()
+
+    def set_write_buffer_limits(self, high: int | None = None, low: int | None = None) -> None:
+        """When to pause and to resume the writer."""
+        self._high = HIGH if high is None else high
+        self._low = self._high // 4 if low is None else low
+
+    def get_write_buffer_size(self) -> int:
+        """Bytes that the kernel has not taken."""
+        return len(self._out)
+
+    def get_write_buffer_limits(self) -> tuple[int, int]:
+        """Low and high."""
+        return self._low, self._high
+
+    def can_write_eof(self) -> bool:
+        """Always."""
+        return True
+
+    def write(self, data: bytes | bytearray | memoryview) -> None:
+        """Send; after the end of writing that is an error, after the connection's it is dropped."""
+        if self._eof_wanted:
+            raise RuntimeError("Cannot call write() after write_eof()")
+        if not data or self._closing or self._gone:
+            return
+        self._out += data
+        self._pump()
+        if len(self._out) > self._high and not self._writing_paused and self._protocol is not None:
+            self._writing_paused = True
+            self._protocol.pause_writing()
+
+    def writelines(self, list_of_data: Iterable[bytes | bytearray | memoryview]) -> None:
+        """Send one after the other."""
+        self.write(b"".join(list_of_data))
+
+    def write_eof(self) -> None:
+        """End this direction when all is sent."""
+        if self._eof_wanted or self._closing:
+            return
+        self._eof_wanted = True
+        self._pump()
+
+    def close(self) -> None:
+        """Send what is left, then end."""
+        if self._closing:
+            return
+        self._closing = True
+        self._reading = False
+        if not self._out:
+            self._soon(self._lost, None)
+
+    def abort(self) -> None:
+        """End at once; what is left is dropped."""
+        self._end(None)
+
+    # ---- within --------------------------------------------------------------------------
+
+    def _soon(self, callback: Callable[..., Any], *args: Any) -> None:
+        self._loop.call_soon(callback, *args, context=self._context)
+
+    def _end(self, exc: Exception | None) -> None:
+        if self._gone:
+            return
+        self._out.clear()
+        self._closing, self._reading = True, False
+        self._soon(self._lost, exc)
+
+    def _lost(self, exc: Exception | None) -> None:
+        if self._gone:
+            return
+        self._gone = True
+        unread = bool(self._inbox)
+        self._inbox.clear()
+        if self.machine is not None:
+            self.machine.used -= 1
+        if unread:
+            self._send_reset()  # closing with bytes unread resets (RFC 9293, 3.6.1)
+        elif not self._eof_sent:
+            self._send_eof()
+        if self._protocol is not None:
+            self._protocol.connection_lost(exc)
+
+    def attach(self, protocol: asyncio.Protocol) -> None:
+        """Connection made: what has come already is told after that."""
+        self._protocol = protocol
+        protocol.connection_made(self)
+        self._read_soon()
+
+    # ---- sending -------------------------------------------------------------------------
+
+    def _carry(self, size: int, arrives: Callable[[], None]) -> None:
+        """Put something on the wire. A timer brings the next that is due, whichever: nothing overtakes."""
+        if self._cut_off():
+            return
+        link = self._network.link(self, self.peer)
+        delay = link.latency * (1.0 + link.jitter * self._loop.rng.random()) + size / link.bandwidth
+        self._last = max(self._last, self._loop.time() + delay)
+        self._wire.append(arrives)
+        self._loop.call_at(self._last, self._bring, context=contextvars.Context())
+
+    def _bring(self) -> None:
+        self._wire.popleft()()
+
+    def _cut_off(self) -> bool:
+        machines = (self.machine, self.peer.machine if self.peer is not None else None)
+        return any(machine is not None and machine.silent for machine in machines)
+
+    def _pump(self) -> None:
+        """Give the kernel what it has room for, in segments that the seed cuts."""
+        peer = self.peer
+        if peer is None:
+            return
+        room = WINDOW - self._under_way - sum(map(len, peer._inbox))
+        while self._out and room > 0:
+            size = min(len(self._out), room)
+            link = self._network.link(self, peer)
+            while size > 1 and self._loop.rng.random() < link.cut:
+                size = self._loop.rng.randint(1, size - 1)
+            segment = bytes(self._out[:size])
+            del self._out[:size]
+            room -= size
+            self._under_way += size
+            self._carry(size, functools.partial(peer._arrive, segment))
+        if self._writing_paused and len(self._out) <= self._low and not self._gone:
+            self._writing_paused = False
+            if self._protocol is not None:
+                self._soon(self._protocol.resume_writing)
+        if not self._out:
+            if self._eof_wanted and not self._eof_sent:
+                self._send_eof()
+            if self._closing and not self._gone:
+                self._soon(self._lost, None)
+
+    def _send_eof(self) -> None:
+        self._eof_sent = True
+        if self.peer is not None:
+            self._carry(0, self.peer._eof_arrives)
+
+    def _send_reset(self) -> None:
+        self._eof_sent = True
+        if self.peer is not None:
+            self._carry(0, self.peer._reset_arrives)
+
+    # ---- what the kernel does, whether the process runs or not ---------------------------
+
+    def _arrive(self, segment: bytes) -> None:
+        assert self.peer is not None
+        self.peer._under_way -= len(segment)
+        if self._gone:
+            self._send_reset()  # nobody is there any more
+            return
+        self._inbox.append(segment)
+        self._read_soon()
+
+    def _eof_arrives(self) -> None:
+        self._eof_came = True
+        self._read_soon()
+
+    def _reset_arrives(self) -> None:
+        if self._gone:
+            return
+        self._reset = True
+        self._inbox.clear()  # what was not read is lost
+        self._out.clear()
+        self._read_soon()
+
+    @property
+    def pending(self) -> bool:
+        """Whether something waits that was not told yet."""
+        return bool(self._inbox) or (self._eof_came and not self._eof_told) or self._reset
+
+    def _read_soon(self) -> None:
+        if self._protocol is not None and not self._due and not self._gone:
+            self._due = True
+            self._soon(self._read)
+
+    def _read(self) -> None:
+        """Tell what has come: all of it in one piece, as a read of a socket returns it."""
+        self._due = False
+        if self._gone or (self._closing and not self._reset):
+            return
+        if self._reset:
+            if self._reading or self._out or self._closing:
+                self._end(ConnectionResetError(errno.ECONNRESET, os.strerror(errno.ECONNRESET)))
+            return
+        if not self._reading:
+            return
+        assert self._protocol is not None
+        if self._inbox:
+            data = b"".join(self._inbox)
+            self._inbox.clear()
+            if self.peer is not None:
+                self._loop.call_soon(self.peer._pump, context=self.peer._context)
+            self._protocol.data_received(data)
+            if self._eof_came and not self._closing:
+                self._read_soon()
+        elif self._eof_came and not self._eof_told:
+            self._eof_told = True
+            if not self._protocol.eof_received():
+                self.close()
+
+
+@dataclass(eq=False)
+class VirtualListener:
+    """A place to connect to; with a factory it accepts by itself."""
+
+    network: VirtualNetwork
+    machine: Machine | None
+    address: Address
+    backlog: int = BACKLOG
+    factory: Callable[[], asyncio.BaseProtocol] | None = None
+    queue: deque[VirtualTransport] = field(default_factory=deque)
+    _waits: Callable[[], None] | None = None
+    _context: contextvars.Context | None = None
+    _due: bool = False
+    _open: bool = True
+
+    @property
+    def port(self) -> int:
+        """The port."""
+        return self.address[1]
+
+    @property
+    def sockets(self) -> list[VirtualListener]:
+        """As of an asyncio.Server, whose callers ask for the address only."""
+        return [self]
+
+    def getsockname(self) -> Address:
+        """The address."""
+        return self.address
+
+    def is_serving(self) -> bool:
+        """Whether it listens."""
+        return self._open
+
+    async def wait_closed(self) -> None:
+        """It closes at once."""
+
+    def arrive(self, transport: VirtualTransport) -> None:
+        """The kernel has a connection for it."""
+        self.queue.append(transport)
+        self.tell()
+
+    def tell(self) -> None:
+        """Level-triggered, as readiness is: told again as long as something waits."""
+        if self.factory is not None:
+            self._accept_all()
+        elif self._waits is not None and self.queue and not self._due:
+            self._due = True
+            self.network.loop.call_soon(self._ready, context=self._context)
+
+    def _ready(self) -> None:
+        self._due = False
+        if self._waits is not None and self.queue:
+            self._waits()
+            self.tell()
+
+    def _accept_all(self) -> None:
+        while self.queue and self.factory is not None:
+            try:
+                transport = self.accept()
+            except OSError:
+                self.network.loop.call_later(1.0, self.tell)  # as asyncio does (ACCEPT_RETRY_DELAY)
+                return
+            protocol = self.factory()
+            assert isinstance(protocol, asyncio.Protocol)
+            transport._soon(transport.attach, protocol)
+
+    def watch(self, waits: Callable[[], None]) -> None:
+        """Call `waits` whenever a connection waits, until `unwatch`."""
+        self._waits = waits
+        self._context = contextvars.copy_context()
+        self.tell()
+
+    def unwatch(self) -> None:
+        """Leave connections waiting."""
+        self._waits = None
+
+    def accept(self) -> VirtualTransport:
+        """A connection; raises BlockingIOError where none waits, and EMFILE."""
+        if not self.queue:
+            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+        if self.machine is not None:
+            self.machine.take()
+        return self.queue.popleft()
+
+    def close(self) -> None:
+        """Listen no more; what waits is reset."""
+        if self._open:
+            self._open = False
+            self._waits = None
+            del self.network.listeners[self.address]
+            while self.queue:
+                transport = self.queue.popleft()
+                transport._gone = True
+                transport._send_reset()
+
+
+class VirtualNetwork:
+    """All machines and listeners of a world."""
+
+    def __init__(self, loop: VirtualLoop, link: Link | None = None) -> None:
+        self.loop = loop
+        loop.network = self
+        self.default = link or Link()
+        self.listeners: dict[Address, VirtualListener] = {}
+        self.machines: dict[str, Machine] = {}
+        self._ports = 40000
+
+    def machine(self, address: str, descriptors: int = 1024) -> Machine:
+        """A new machine."""
+        self.machines[address] = made = Machine(self, address, descriptors)
+        return made
+
+    def link(self, one: VirtualTransport, other: VirtualTransport | None) -> Link:
+        """What lies between two ends."""
+        return self.default
+
+    def _port(self) -> int:
+        self._ports += 1
+        return self._ports
+
+    def listen(
+        self, address: Address, factory: Callable[[], asyncio.BaseProtocol] | None = None, backlog: int = BACKLOG
+    ) -> VirtualListener:
+        """Listen; raises EADDRINUSE. Port 0 takes a free one."""
+        if address[1] == 0:
+            address = (address[0], self._port())
+        if address in self.listeners:
+            raise _fault(errno.EADDRINUSE)
+        listener = VirtualListener(self, MACHINE.get(), address, backlog, factory)
+        self.listeners[address] = listener
+        return listener
+
+    def serve(self, factory: Callable[[], asyncio.BaseProtocol], address: Address) -> VirtualListener:
+        """Listen, and accept whatever comes."""
+        return self.listen(address, factory)
+
+    async def connect(
+        self, factory: Callable[[], asyncio.BaseProtocol], address: Address
+    ) -> tuple[asyncio.Transport, asyncio.BaseProtocol]:
+        """Connect from the machine that the caller runs on; raises OSError."""
+        machine = MACHINE.get()
+        if machine is not None:
+            machine.take()
+        try:
+            listener = await self._reach(address, machine)
+        except BaseException:
+            if machine is not None:
+                machine.used -= 1
+            raise
+        here = (machine.address if machine is not None else "127.0.0.1", self._port())
+        near = VirtualTransport(self, machine, here, address)
+        far = VirtualTransport(self, listener.machine, address, here)
+        near.peer, far.peer = far, near
+        listener.arrive(far)
+        protocol = factory()
+        assert isinstance(protocol, asyncio.Protocol)
+        near.attach(protocol)
+        return near, protocol
+
+    async def _reach(self, address: Address, machine: Machine | None) -> VirtualListener:
+        """Three ways of a handshake; a SYN that finds a full queue or a silent machine is sent again, in vain."""
+        for wait in SYN_RETRIES:
+            await asyncio.sleep(2.0 * self.default.latency)
+            far = self.machines.get(address[0])
+            listener = self.listeners.get(address)
+            if (far is not None and far.silent) or (machine is not None and machine.silent):
+                pass
+            elif listener is None:
+                raise ConnectionRefusedError(errno.ECONNREFUSED, os.strerror(errno.ECONNREFUSED))
+            elif len(listener.queue) < listener.backlog:
+                return listener
+            await asyncio.sleep(wait)
+        raise TimeoutError(errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT))
+
+
+class VirtualSurroundings:
+    """What `cometusher.seam.Network` asks for, out of a virtual network; one for each proxy."""
+
+    def __init__(self, network: VirtualNetwork, epoch: float = 1.6e9) -> None:
+        self._network = network
+        self.epoch = epoch  # Unix time at the world's beginning; a change of it is a step of the wall clock
+
+    def unix_time(self) -> float:
+        """Seconds since 1970."""
+        return self.epoch + self._network.loop.time()
+
+    def monotonic(self) -> float:
+        """Seconds since the world began."""
+        return self._network.loop.time()
+
+    def listen(self, address: Address) -> Listener:
+        """Listen; raises OSError."""
+        return self._network.listen(address)
+
+    def adopt(self, listener: Any) -> Listener:
+        """A listener that somebody else has opened."""
+        assert isinstance(listener, VirtualListener)
+        return listener
+
+    async def attach(self, connection: Any, protocol: Callable[[], asyncio.Protocol]) -> None:
+        """Give an accepted connection to its protocol."""
+        connection.attach(protocol())
+
+    def pending(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """Tells whether something has come that was not read."""
+        assert isinstance(transport, VirtualTransport)
+        return lambda: transport.pending
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -66,6 +66,7 @@
         super().__init__()
         self.hosts = hosts
         self.seq = 1
+        self.delay = 0.0  # seconds before a watch is told anything
         self._open: set[Watch] = set()
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -87,6 +88,7 @@
         self._open.add(watch)
         beat = asyncio.get_running_loop().create_task(self._beat(watch))
         try:
+            await asyncio.sleep(self.delay)
             watch.tell(self.seq, *self.hosts, whole=True)
             with contextlib.suppress(OSError):
                 await reader.read()
--- a/tests/loopback/test_fleet_control.py
+++ b/tests/loopback/test_fleet_control.py
@@ -163,6 +163,7 @@
         backend = Backend(1, serve_ok)
         await backend.start()
         hosts = HostList([backend.entry()])
+        hosts.delay = 0.4
         await hosts.start()
         fleet.common["discovery"] = f"127.0.0.1:{hosts.port}"
         fleet.add("a", "b")
