The real proxy runs in virtual worlds, the same way for the same seed

One proxy, three backends with cores and queues, discovery and a client, all unchanged code but for the seam, each on a virtual machine that can be paused or fall silent. The digest of a run with five faults is the same in three processes with other hash seeds.

The connections of callers were a set, whose order was chance; stand-ins draw ids from their seed.

--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -321,7 +321,7 @@
         self._descriptors = descriptors
         self._listener: Listener | None = None
         self._accepting = False
-        self._connections: set[CallerConnection] = set()
+        self._connections: dict[CallerConnection, None] = {}  # in the order of their coming: a set's is chance
         self._idle: dict[CallerConnection, None] = {}  # between requests, longest idle first
         self._fresh: dict[CallerConnection, None] = {}  # no whole request has come yet, or never will; oldest first
         self._tasks: set[asyncio.Task[None]] = set()
@@ -394,7 +394,7 @@
 
     def opened(self, connection: CallerConnection) -> None:
         """A connection is up."""
-        self._connections.add(connection)
+        self._connections[connection] = None
         self._fresh[connection] = None
 
     def closed(self, connection: CallerConnection) -> None:
@@ -402,7 +402,7 @@
         self._idle.pop(connection, None)
         self._fresh.pop(connection, None)
         if connection in self._connections:
-            self._connections.discard(connection)
+            del self._connections[connection]
             self._descriptors.give_caller()
         if self._draining and not self._connections:
             self.empty.set()
--- a/standins/load.py
+++ b/standins/load.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -83,11 +82,11 @@
         tenant = self._rng.choice(self._tenants)
         lines = [
             b"POST /api HTTP/1.1" if kind.keyed else b"GET /api HTTP/1.1", b"Host: backend.local",
-            b"X-Call-Id: %s" % os.urandom(8).hex().encode(), b"X-Call-Class: " + kind.name.encode(),
+            b"X-Call-Id: %016x" % self._rng.getrandbits(64), b"X-Call-Class: " + kind.name.encode(),
             b"X-Caller: " + tenant.encode(), b"X-Budget: %dm" % int(kind.budget * 1000),
         ]
         if kind.keyed:
-            lines += [b"Idempotency-Key: %s" % os.urandom(16).hex().encode(), b"Content-Length: 5"]
+            lines += [b"Idempotency-Key: %032x" % self._rng.getrandbits(128), b"Content-Length: 5"]
         return b"\r\n".join([*lines, b"", b""]) + (b"draft" if kind.keyed else b"")
 
     async def _one(self) -> None:
--- a/standins/service.py
+++ b/standins/service.py
@@ -7,8 +7,6 @@
 
 import asyncio
 import contextlib
-import itertools
-import os
 from dataclasses import dataclass, field
 from random import Random
 
@@ -33,7 +31,6 @@
     _queued: int = 0
     _free: asyncio.Semaphore = field(init=False)
     _idle: list[tuple[Reader, Writer]] = field(default_factory=list)
-    _ids: itertools.count[int] = field(default_factory=itertools.count)
 
     def __post_init__(self) -> None:
         self._free = asyncio.Semaphore(self.cores)
@@ -53,7 +50,7 @@
         try:
             async with self._free:
                 # Work varies from request to request, as reports do.
-                share = self._ids_share()
+                share = self._share()
                 await asyncio.sleep(self.work.get(kind, 0.05) * share / self.speed)
         finally:
             self._queued -= 1
@@ -67,7 +64,8 @@
         self.served += 1
         writer.write(reply(200, body))
 
-    def _ids_share(self) -> float:
+    def _share(self) -> float:
+        """What a request takes of the usual work."""
         return 0.5 + self.rng.random()
 
     async def _call(self, seen: Seen, spent: float) -> bytes | None:
@@ -78,7 +76,7 @@
         if left <= 0.0:
             return None
         headers = [
-            b"Host: backend.local", b"X-Call-Id: %s" % os.urandom(8).hex().encode(),
+            b"Host: backend.local", b"X-Call-Id: %016x" % self.rng.getrandbits(64),
             b"X-Budget: %dm" % max(1, int(left * 1000.0)),
         ]
         for name in (b"x-call-class", b"x-caller", b"idempotency-key"):
--- /dev/null
+++ b/tests/virtual/test_proxy_world.py
@@ -0,0 +1,141 @@
+"""The real proxy on the virtual loop and network: it serves, survives faults, and does the same again."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import os
+import subprocess
+import sys
+from collections.abc import Callable
+from pathlib import Path
+from random import Random
+
+import pytest
+
+from cometusher import config
+from cometusher.demo import settings
+from cometusher.proxy import Proxy
+from cometusher.virtual.loop import VirtualLoop, run
+from cometusher.virtual.network import Link, Machine, VirtualNetwork, VirtualSurroundings
+from standins.backend import Backend
+from standins.discovery import HostList
+from standins.load import Figures, Kind, Load
+from standins.service import Service
+from weldroute.settings import read_settings
+
+FRONT = ("10.1.0.1", 9000)
+ROOT = Path(__file__).parent.parent.parent
+KINDS = [Kind("report-view", 0.63, 2.0, False), Kind("submit", 0.37, 1.25, True)]
+
+
+class World:
+    """One proxy, some backends, discovery and a client, each on a machine of its own."""
+
+    def __init__(self, seed: int, backends: int = 3, rate: float = 60.0) -> None:
+        self.loop = VirtualLoop(seed)
+        self.network = VirtualNetwork(self.loop, Link(latency=0.002, jitter=0.5))
+        self.seed = seed
+        self.rate = rate
+        self.machines = [self.network.machine(f"10.2.0.{i + 1}") for i in range(backends)]
+        self.front = self.network.machine(FRONT[0], descriptors=256)
+        self.clients = self.network.machine("10.3.0.1", descriptors=10000)
+        self.proxy: Proxy | None = None
+        self.load = Load([FRONT], KINDS, ["univ-central"], rate, seed)
+        self.services: list[Service] = []
+
+    async def _on(self, machine: Machine, start: Callable[[], object]) -> object:
+        """Run something on a machine; what it starts stays there."""
+
+        async def call() -> object:
+            result = start()
+            return await result if asyncio.iscoroutine(result) else result
+
+        return await self.loop.create_task(call(), context=machine.context())
+
+    async def build(self) -> None:
+        rng = Random(self.seed)
+        entries = []
+        for i, machine in enumerate(self.machines):
+            service = Service(1.0 + 0.3 * i, {"report-view": 0.03, "submit": 0.02}, Random(rng.random()))
+            backend = Backend(i + 1, service.serve)
+            self.services.append(service)
+            await self._on(machine, lambda b=backend, m=machine: b.start(m.address))  # type: ignore[misc]
+            entries.append(backend.entry(site="kigali", dial=f"{machine.address}:{backend.port}"))
+        hosts = HostList(entries)
+        await self._on(self.network.machine("10.4.0.1"), lambda: hosts.start("10.4.0.1"))
+        raw = settings(1, 0)
+        told = config.Config(
+            name="p", listen=FRONT, discovery=("10.4.0.1", hosts.port), seed=self.seed, memory_mb=64, sockets=256,
+            known={}, settings=read_settings(raw), zones=tuple(raw["Zones"]),
+        )
+
+        def start() -> None:
+            self.proxy = Proxy(told, VirtualSurroundings(self.network))
+            self.proxy.start()
+
+        await self._on(self.front, start)
+
+    async def play(self, seconds: float, script: dict[float, Callable[[], None]]) -> Figures:
+        await self.build()
+        await asyncio.sleep(1.0)  # until the proxy knows its backends
+        for at, fault in script.items():
+            self.loop.call_at(at, fault)
+        stop = asyncio.Event()
+        self.loop.call_at(seconds, stop.set)
+        await self.loop.create_task(self.load.run(stop), context=self.clients.context())
+        assert self.loop.faults == []  # here: what is cancelled at the end makes asyncio's streams complain
+        return self.load.figures
+
+
+def play(seed: int, seconds: float = 30.0, faults: Callable[[World], dict[float, Callable[[], None]]] | None = None,
+         ) -> tuple[Figures, World]:
+    world = World(seed)
+    figures = run(world.loop, world.play(seconds, faults(world) if faults is not None else {}))
+    return figures, world
+
+
+def digest(seed: int) -> str:
+    """Of all that can be seen of a run with faults."""
+    figures, world = play(seed, 15.0, lambda w: {
+        3.0: w.machines[0].pause, 6.0: w.machines[0].resume, 8.0: lambda: setattr(w.machines[1], "silent", True),
+        10.0: w.front.pause, 10.5: w.front.resume,
+    })
+    assert world.proxy is not None
+    text = repr((vars(figures), sorted(world.proxy.tallies.items()), world.loop.steps, world.loop.time()))
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_calm_world_serves_everything_and_leaves_nothing(seed: int) -> None:
+    figures, world = play(seed)
+    assert figures.sent > 1500 and figures.served == figures.sent, figures
+    assert world.proxy is not None and world.proxy.open_requests == 0 and world.proxy.memory.used == 0
+    assert sum(service.served for service in world.services) >= figures.served
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_a_silent_machine_costs_no_request_its_answer(seed: int) -> None:
+    """Its open connections say nothing; every request still has one answer, and the others go on."""
+    figures, _ = play(seed, faults=lambda w: {10.0: lambda: setattr(w.machines[0], "silent", True)})
+    assert figures.lost == 0 and figures.served > 0.9 * figures.sent, figures
+
+
+@pytest.mark.parametrize("seed", range(10))
+def test_paused_backends_and_a_paused_proxy_lose_nothing(seed: int) -> None:
+    figures, _ = play(seed, faults=lambda w: {
+        5.0: w.machines[1].pause, 7.0: w.machines[1].resume, 12.0: w.front.pause, 12.4: w.front.resume,
+    })
+    assert figures.lost == 0 and figures.served > 0.9 * figures.sent, figures
+
+
+def test_a_seed_does_the_same_in_every_process_and_with_every_hash_seed() -> None:
+    code = "import sys; sys.path[:0] = ['.', 'tests/virtual']; import test_proxy_world as t; print(t.digest(7))"
+    digests = set()
+    for hash_seed in ("0", "1", "4242"):
+        environ = os.environ | {"PYTHONHASHSEED": hash_seed}
+        done = subprocess.run([sys.executable, "-c", code], cwd=ROOT, env=environ, capture_output=True, check=False)
+        assert done.returncode == 0, done.stderr
+        digests.add(done.stdout.strip())
+    assert len(digests) == 1
+    assert digest(7) != digest(8)
