--- a/tests/virtual/test_proxy_world.py
+++ b/tests/virtual/test_proxy_world.py
@@ -29,6 +29,17 @@
 KINDS = [Kind("report-view", 0.63, 2.0, False), Kind("submit", 0.37, 1.25, True)]
 
 
+class Silent(asyncio.Protocol):
+    """One of a crowd that connects and says nothing; notes when it is sent away."""
+
+    def __init__(self, number: int, ends: list[tuple[int, float]]) -> None:
+        self.number = number
+        self.ends = ends
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        self.ends.append((self.number, asyncio.get_running_loop().time()))
+
+
 class World:
     """One proxy, some backends, discovery and a client, each on a machine of its own."""
 
@@ -43,6 +54,7 @@
         self.proxy: Proxy | None = None
         self.load = Load([FRONT], KINDS, ["univ-central"], rate, seed)
         self.services: list[Service] = []
+        self.ends: list[tuple[int, float]] = []  # of the silent crowd: who, and when
 
     async def _on(self, machine: Machine, start: Callable[[], object]) -> object:
         """Run something on a machine; what it starts stays there."""
@@ -76,6 +88,15 @@
 
         await self._on(self.front, start)
 
+    def crowd(self, count: int) -> None:
+        """Connections that say nothing; the proxy ends them all at one look."""
+
+        async def connect() -> None:
+            for number in range(count):
+                await self.loop.create_connection(lambda n=number: Silent(n, self.ends), *FRONT)
+
+        self.loop.create_task(connect(), context=self.clients.context())
+
     async def play(self, seconds: float, script: dict[float, Callable[[], None]]) -> Figures:
         await self.build()
         await asyncio.sleep(1.0)  # until the proxy knows its backends
@@ -96,13 +117,13 @@
 
 
 def digest(seed: int) -> str:
-    """Of all that can be seen of a run with faults."""
+    """Of all that can be seen of a run with faults and a crowd."""
     figures, world = play(seed, 15.0, lambda w: {
-        3.0: w.machines[0].pause, 6.0: w.machines[0].resume, 8.0: lambda: setattr(w.machines[1], "silent", True),
+        2.0: lambda: w.crowd(30), 3.0: w.machines[0].pause, 6.0: w.machines[0].resume, 8.0: lambda: setattr(w.machines[1], "silent", True),
         10.0: w.front.pause, 10.5: w.front.resume,
     })
     assert world.proxy is not None
-    text = repr((vars(figures), sorted(world.proxy.tallies.items()), world.loop.steps, world.loop.time()))
+    text = repr((vars(figures), world.ends, sorted(world.proxy.tallies.items()), world.loop.steps, world.loop.time()))
     return hashlib.sha256(text.encode()).hexdigest()
 
 
