--- a/tests/virtual/test_proxy_world.py
+++ b/tests/virtual/test_proxy_world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import hashlib
 import os
 import subprocess
@@ -93,7 +94,7 @@
 
         async def connect() -> None:
             for number in range(count):
-                await self.loop.create_connection(lambda n=number: Silent(n, self.ends), *FRONT)
+                await self.loop.create_connection(functools.partial(Silent, number, self.ends), *FRONT)
 
         self.loop.create_task(connect(), context=self.clients.context())
 
@@ -119,7 +120,8 @@
 def digest(seed: int) -> str:
     """Of all that can be seen of a run with faults and a crowd."""
     figures, world = play(seed, 15.0, lambda w: {
-        2.0: lambda: w.crowd(30), 3.0: w.machines[0].pause, 6.0: w.machines[0].resume, 8.0: lambda: setattr(w.machines[1], "silent", True),
+        2.0: lambda: w.crowd(30),
+        3.0: w.machines[0].pause, 6.0: w.machines[0].resume, 8.0: lambda: setattr(w.machines[1], "silent", True),
         10.0: w.front.pause, 10.5: w.front.resume,
     })
     assert world.proxy is not None
