--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -30,7 +30,7 @@
 
 from cometusher.demo import settings  # noqa: E402
 from cometusher.fleet.control import ControlError, NoSupervisor, ask  # noqa: E402
-from cometusher.fleet.identity import Identity  # noqa: E402
+from cometusher.fleet.identity import Identity, read_stat  # noqa: E402
 from standins.backend import Backend, serve_ok  # noqa: E402
 from standins.discovery import HostList  # noqa: E402
 from standins.load import Figures, Kind, Load  # noqa: E402
@@ -39,8 +39,6 @@
 KINDS = [Kind("report-view", 0.63, 3.0, False), Kind("submit", 0.37, 2.5, True)]
 PATIENCE = 120.0  # seconds for any one step
 RATE = 200.0  # requests a second over all instances
-PARENT = 4  # the field of proc(5)'s stat that names the parent, from 1
-GROUP = 5
 
 
 def memory(pid: int) -> tuple[float, float]:
@@ -56,14 +54,11 @@
     """Processes left of a fleet: by parent, by process group, and those that were seen in it."""
     found = []
     for entry in os.listdir("/proc"):
-        if not entry.isdigit():
+        stat = read_stat(int(entry)) if entry.isdigit() else None
+        if stat is None or stat.state == "Z":
             continue
-        with contextlib.suppress(OSError):
-            text = Path(f"/proc/{entry}/stat").read_text()
-            fields = text[text.rindex(")") + 2 :].split()
-            state, parent, group = fields[0], int(fields[PARENT - 3]), int(fields[GROUP - 3])
-            if state != "Z" and (parent == supervisor or group in pids or int(entry) in pids):
-                found.append(int(entry))
+        if stat.parent == supervisor or stat.group in pids or int(entry) in pids:
+            found.append(int(entry))
     return found
 
 
--- a/cometusher/fleet/commands.py
+++ b/cometusher/fleet/commands.py
@@ -42,14 +42,23 @@
     return actions.get(options.action, _operate)(read_place(path), options)
 
 
-def _operate(place: Place, options: argparse.Namespace) -> int:
+def _asked(place: Place, command: str, timeout: float, options: argparse.Namespace) -> dict[str, Any] | None:
+    """The supervisor's answer; None if there is none to be had, which is told then."""
     try:
-        ask(place.control, "status", ANSWER, names=options.names)  # a supervisor that hangs is told at once
-        answer = ask(place.control, options.action, LONGEST, names=options.names)
+        return ask(place.control, command, timeout, names=options.names)
     except (NoSupervisor, ControlError) as fault:
         if options.json:
             _print({"ok": False, "error": str(fault)})
         _say(1, str(fault))
+        return None
+
+
+def _operate(place: Place, options: argparse.Namespace) -> int:
+    # A supervisor that hangs is told at once.
+    if _asked(place, "status", ANSWER, options) is None:
+        return 1
+    answer = _asked(place, options.action, LONGEST, options)
+    if answer is None:
         return 1
     _print(answer) if options.json else _say(0, str(answer.get("text", "done")))
     return 0
@@ -97,12 +106,8 @@
 
 
 def _status(place: Place, options: argparse.Namespace) -> int:
-    try:
-        answer = ask(place.control, "status", ANSWER, names=options.names)
-    except (NoSupervisor, ControlError) as fault:
-        if options.json:
-            _print({"ok": False, "error": str(fault)})
-        _say(1, str(fault))
+    answer = _asked(place, "status", ANSWER, options)
+    if answer is None:
         return 1
     if options.json:
         _print(answer)
@@ -127,10 +132,8 @@
 def _stop(place: Place, options: argparse.Namespace) -> int:
     if options.names:
         return _operate(place, options)
-    try:
-        answer = ask(place.control, "stop", ANSWER)
-    except (NoSupervisor, ControlError) as fault:
-        _say(1, str(fault))
+    answer = _asked(place, "stop", ANSWER, options)
+    if answer is None:
         return 1
     who = Identity.of(int(answer["pid"]))
     deadline = time.monotonic() + ANSWER + 2.0 * float(answer["within"])
--- a/cometusher/fleet/identity.py
+++ b/cometusher/fleet/identity.py
@@ -36,6 +36,8 @@
     """What proc(5) tells of a process."""
 
     state: str
+    parent: int
+    group: int
     cpu: float  # seconds of processor time
     started: int  # ticks since boot
 
@@ -47,7 +49,7 @@
     except OSError:
         return None
     rest = text[text.rindex(")") + 2 :].split()  # the name may hold anything, also brackets and spaces
-    return Stat(rest[0], (int(rest[11]) + int(rest[12])) / TICKS, int(rest[19]))
+    return Stat(rest[0], int(rest[1]), int(rest[2]), (int(rest[11]) + int(rest[12])) / TICKS, int(rest[19]))
 
 
 @dataclass(frozen=True, slots=True)
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -440,7 +440,7 @@
         current = instance.current if instance is not None else None
         child = self.children.get((one.name, current.generation)) if current is not None else None
         runs = child.spec if child is not None else before
-        if runs.version == one.version and runs.sockets == one.sockets:
+        if runs.version == one.version:
             return None
         return Step.REPLACE if runs.needs_restart(one) else Step.RELOAD
 
