--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 
 RESERVED_DESCRIPTORS = 24  # standard streams, event loop, listener, discovery, and some to spare
+MANAGEMENT_DESCRIPTORS = 14  # where operators can call: their connections, and their listener
 IDLE_MB = 28  # that the process takes by itself, with some to spare
 BACKEND_PART = 0.25  # of the descriptors that callers can't take
 
@@ -17,7 +18,8 @@
     descriptor to a backend is of no use. Idle connections are closed to make room.
     """
 
-    def __init__(self, sockets: int) -> None:
+    def __init__(self, sockets: int, reserved: int = RESERVED_DESCRIPTORS) -> None:
+        self._reserved = reserved
         self.resize(sockets)
         self.used = 0
         self.callers = 0
@@ -29,7 +31,7 @@
 
     def resize(self, sockets: int) -> None:
         """Set the limit; what is in use beyond it goes as it ends."""
-        self.limit = max(4, sockets - RESERVED_DESCRIPTORS)
+        self.limit = max(4, sockets - self._reserved)
         self.caller_limit = max(2, int(self.limit * (1.0 - BACKEND_PART)))
 
     def _take(self) -> None:
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 from typing import Any, Protocol, cast
 
@@ -18,6 +17,7 @@
     response_head,
 )
 from cometusher.seam import Listener, Network
+from weldroute.operations import Posture
 
 log = logging.getLogger(__name__)
 
@@ -32,8 +32,6 @@
 EVICT_MOST = 16  # of those at once: they come by hundreds
 LINGER = 0.5  # seconds in which what a caller still writes is read and dropped
 LINGER_BYTES = 256 * 1024  # and how much of it
-DRAIN_ACCEPT = 0.45  # seconds after the order to stop in which new connections are taken
-DRAIN_READ = 0.25  # seconds for the rest of a request once no further one is wanted
 
 
 class Taken(Protocol):
@@ -231,7 +229,7 @@
 
     def _must_close(self) -> bool:
         assert self._request is not None
-        return not self._request.keep_alive or self._callers.ending or self._callers.crowded
+        return not self._request.keep_alive or self._callers.posture.closes or self._callers.crowded
 
     def _finish_request(self) -> None:
         self.release_body()
@@ -313,8 +311,7 @@
         self._network = network
         self.handler = handler
         self.memory = memory
-        self.leaving = False  # nothing new is listened for
-        self.ending = False  # every answer closes its connection
+        self.posture = Posture()
         self.crowded = False  # connections wait for a free descriptor
         self.empty = asyncio.Event()
         self._draining = False
@@ -385,7 +382,7 @@
             )
 
     def _resume_accepting(self) -> None:
-        if not self._accepting and self._listener is not None:
+        if not self._accepting and self._listener is not None and self.posture.listens:
             self._accepting = True
             self.crowded = False
             self._listener.watch(self._accept)
@@ -417,7 +414,7 @@
 
     def now_idle(self, connection: CallerConnection) -> None:
         """Its request is answered."""
-        if self.ending:
+        if not self.posture.keeps_idle and connection.carried:
             connection.close()
         elif connection.carried:
             self._fresh.pop(connection, None)
@@ -462,45 +459,43 @@
         """Connections that are up."""
         return len(self._connections)
 
-    # ---- the end -------------------------------------------------------------------------
-
-    async def drain(self, keep: float) -> None:
-        """End in order: take what still comes, then answer what was taken, and close.
-
-        Guards against losing requests at a planned restart: connections go on coming for a while after
-        the order to stop, and what waits in the backlog when the listener closes would be reset. Callers go
-        on using the connections that they have, and may have nowhere else to go until the next process is
-        up: so these are served for `keep` seconds.
-        """
-        until = self.loop.time() + keep
-        await asyncio.sleep(DRAIN_ACCEPT)
-        self.leaving = True
+    # ---- leaving -------------------------------------------------------------------------
+
+    def take(self, posture: Posture) -> None:
+        """Do as the operations say from here on; called at every change, and often."""
+        before, self.posture = self.posture, posture
+        if before.listens and not posture.listens:
+            self._deafen()
+        elif posture.listens and not before.listens:
+            self._resume_accepting()
+        if not posture.keeps_idle:
+            for connection in list(self._idle):
+                if connection.idle:
+                    connection.close()
+        if not posture.keeps_partial:
+            for connection in list(self._connections):
+                if connection.idle or connection.partial:
+                    connection.close()
+
+    def _deafen(self) -> None:
+        # What waits in the backlog is taken, for where nobody else holds the listener its close resets them.
         if self._listener is not None:
             self._accept()
             if self._accepting:
                 self._listener.unwatch()
             self._accepting = False
             self.crowded = False
+
+    def hang_up(self) -> None:
+        """Close the listener, for good."""
+        if self._listener is not None:
             self._listener.close()
             self._listener = None
+
+    async def emptied(self) -> None:
+        """Wait until no connection is left, and none is being taken up."""
         while self._tasks:
             await asyncio.wait(self._tasks)
-        await self._emptied(max(0.0, until - self.loop.time()))
-        self.ending = True
-        for connection in list(self._connections):
-            if connection.idle:
-                connection.close()
-        self.loop.call_later(DRAIN_READ, self._give_up_partial)
-        await self._emptied(None)
-
-    async def _emptied(self, within: float | None) -> None:
-        """Wait until no connection is left, or for so long."""
         self._draining = True
         if self._connections:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.empty.wait(), within)
-
-    def _give_up_partial(self) -> None:
-        for connection in list(self._connections):
-            if connection.idle or connection.partial:
-                connection.close()
+            await self.empty.wait()
--- a/cometusher/config.py
+++ b/cometusher/config.py
@@ -33,6 +33,8 @@
     known: dict[str, Any]
     settings: Settings
     zones: tuple[str, ...]
+    management: Address | None = None  # where operators call
+    accept_fd: int | None = None  # the listener that this process was started with
 
 
 def read_address(text: Any, name: str) -> Address:
@@ -55,6 +57,14 @@
     return int(value)
 
 
+def _descriptor(text: str | None) -> int | None:
+    if not text:
+        return None
+    if not text.isascii() or not text.isdigit() or not 0 <= int(text) < 2**20:
+        raise ConfigError(f"LB_ACCEPT_FD: {text!r} is not a descriptor")
+    return int(text)
+
+
 def _seed(value: Any) -> int:
     try:
         return int(str(value), 16)
@@ -93,6 +103,7 @@
     known = _object(values, "known")
     if not isinstance(known.get("hosts", []), list) or not isinstance(known.get("seq", 0), int):
         raise ConfigError("known: not a list of hosts with a seq")
+    management = environ.get("LB_MANAGEMENT") or values.get("management")
     where = (environ.get("LB_DISCOVERY"), values.get("discovery"))
     return Config(
         name=str(environ.get("LB_NAME") or values.get("name") or "proxy"),
@@ -104,6 +115,8 @@
         known=known,
         settings=settings,
         zones=tuple(str(zone) for zone in raw.get("Zones") or ()),
+        management=read_address(management, "management") if management else None,
+        accept_fd=_descriptor(environ.get("LB_ACCEPT_FD")),
     )
 
 
--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -42,6 +42,7 @@
 
     row: ServerRow
     dial: Address
+    host: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -81,7 +82,7 @@
         size=_number(item.get("share"), 1.0),
         started=_number(item.get("born_ms"), 0.0) / 1000.0,
     )
-    return Entry(row, read_address(item.get("dial"), "dial"))
+    return Entry(row, read_address(item.get("dial"), "dial"), host)
 
 
 def read_listing(value: Any, zones: Sequence[str]) -> Listing:
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -13,9 +13,10 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from random import Random
+from typing import TYPE_CHECKING
 
 from cometusher.backends import Attempt, Backends
-from cometusher.budget import BodyMemory, Descriptors
+from cometusher.budget import MANAGEMENT_DESCRIPTORS, RESERVED_DESCRIPTORS, BodyMemory, Descriptors
 from cometusher.callers import CallerConnection, Callers
 from cometusher.config import Config
 from cometusher.discovery import Discovery, Entry, read_listing
@@ -46,6 +47,11 @@
     Timer,
 )
 from weldroute.model import Discovery as DiscoveryMode
+from weldroute.model import ServerId
+from weldroute.operations import ALREADY, DONE, UNKNOWN, Call, Operations, Verdict
+
+if TYPE_CHECKING:
+    from cometusher.management import Management
 
 log = logging.getLogger(__name__)
 
@@ -57,6 +63,7 @@
 DRAIN_LONGEST = 3.0  # seconds of a caller's time that the end by force waits for, at most
 DRAIN_SPARE = 0.2  # seconds before that end by which all is answered
 DRAIN_SERVE = 0.7  # ...and by which the last request is taken: most answers take less
+DRAIN_STEP = 0.05  # seconds between looks at what a drain is due to do
 PRIVATE = frozenset({b"x-load-report", b"x-rejected"})  # between backends and proxies only
 
 
@@ -111,7 +118,11 @@
         self.network = network or SocketNetwork(loop)
         self.clock = Clock(self.network)
         self.config = config
-        self.descriptors = Descriptors(config.sockets)
+        self.operations = Operations()
+        self._management: Management | None = None
+        self._names: dict[str, ServerId] = {}  # backends as discovery names them
+        reserved = RESERVED_DESCRIPTORS + (MANAGEMENT_DESCRIPTORS if config.management else 0)
+        self.descriptors = Descriptors(config.sockets, reserved)
         self.memory = BodyMemory(config.memory_mb)
         self.callers = Callers(loop, self.network, self, self.descriptors, self.memory)
         self.backends = Backends(
@@ -142,7 +153,9 @@
 
     def start(self) -> None:
         """Listen on the address of the configuration, and follow discovery."""
+        self._manage()
         self.callers.listen(self.network.listen(self.config.listen))
+        self.operations.serving = True
         self._follow()
 
     async def start_on(self, listener: socket.socket) -> None:
@@ -151,11 +164,22 @@
         Guards against refusing what another process of the same listener could have served: one that knows no
         backend yet has nothing to send to. Harm: with discovery silent, the start takes FIRST_LIST longer.
         """
+        self._manage()
         self._follow()
         if not self.backends.known():
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.discovery.heard.wait(), FIRST_LIST)
         self.callers.listen(self.network.adopt(listener))
+        self.operations.serving = True
+
+    def _manage(self) -> None:
+        """Listen where operators call, if they do."""
+        if self.config.management is None:
+            return
+        from cometusher.management import Management
+
+        listener = self.network.listen(self.config.management)
+        self._management = Management(self.loop, self.network.attach, listener, self.operate)
 
     def _follow(self) -> None:
         self._dispatch(None, lambda now: self.balancer.start(now))
@@ -185,13 +209,31 @@
         longest = min(max(self._usual), DRAIN_LONGEST)
         if longest:
             self._latest = self.clock.now() + DRAIN_FIRST + longest - DRAIN_SPARE
-        await self.callers.drain(DRAIN_FIRST + longest - DRAIN_SERVE)
+        self.operations.stop(self.loop.time(), DRAIN_FIRST + longest - DRAIN_SERVE)
+        emptied: asyncio.Task[None] | None = None
+        while emptied is None or not emptied.done():
+            self._take_posture()
+            if emptied is None and not self.callers.posture.listens:
+                self.callers.hang_up()
+                emptied = self.loop.create_task(self.callers.emptied())
+            if emptied is None:
+                await asyncio.sleep(DRAIN_STEP)
+            else:
+                await asyncio.wait([emptied], timeout=DRAIN_STEP)
+        if self._management is not None:
+            self._management.close()
         await self.discovery.stop()
 
+    def _take_posture(self) -> None:
+        self.callers.take(self.operations.posture(self.loop.time()))
+
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)
         self.backends.sweep()
+        self._take_posture()
         self.callers.sweep()
+        if self._management is not None:
+            self._management.sweep()
         if self.loop.time() >= self._report_at and self.tallies != self._reported:
             self._report_at = self.loop.time() + REPORT
             fresh = {name: n - self._reported.get(name, 0) for name, n in self.tallies.items()}
@@ -211,6 +253,36 @@
         """Requests that were taken and are not settled."""
         return len(self._exchanges)
 
+    # ---- operators -----------------------------------------------------------------------
+
+    def operate(self, call: Call, host: str = "") -> Verdict:
+        """Do what operators ask; what a yes promises holds when this returns."""
+        now = self.loop.time()
+        if call is Call.READY:
+            return self.operations.ready()
+        if call is Call.EVACUATE:
+            verdict = self.operations.evacuate(now)
+        elif call is Call.REJOIN:
+            verdict = self.operations.rejoin()
+        else:
+            verdict = self._ban(host, call is Call.EXCLUDE)
+        self._take_posture()
+        return verdict
+
+    def _ban(self, host: str, out: bool) -> Verdict:
+        server = self._names.get(host)
+        if server is None:
+            return UNKNOWN
+        if out is (server in self.balancer.bans):
+            return ALREADY
+        balancer = self.balancer
+        self._dispatch(None, lambda now: balancer.ban(now, server) if out else balancer.unban(now, server))
+        # It is restarted while it is out: what is open to it now is of no use then.
+        self.backends.drop_idle(server)
+        if not out and server not in balancer.servers:
+            del self._names[host]  # discovery has dropped it meanwhile
+        return DONE
+
     # ---- dispatch ------------------------------------------------------------------------
 
     def _dispatch(self, exchange: Exchange | None, event: Callable[[float], list[Action]]) -> None:
@@ -258,7 +330,7 @@
     def take(self, caller: CallerConnection, request: Request) -> Exchange | None:
         """A whole request has come."""
         if request.target == READY_PATH and request.method == b"GET":
-            caller.answer(503 if self.callers.leaving else 200, list(self.mark), b"")
+            caller.answer(200 if self.callers.posture.up else 503, list(self.mark), b"")
             return None
         try:
             kind, budget = self._read(request)
@@ -422,7 +494,7 @@
         """Whether its request still waits for an answer."""
         exchange = attempt.owner
         assert isinstance(exchange, Exchange)
-        return not exchange.answered
+        return not exchange.answered and attempt.server not in self.balancer.bans
 
     def attempt_ended(self, attempt: Attempt, how: Outcome, response: Response | None, why: str) -> None:
         """The end of an attempt, told to the module; a first success is passed on."""
@@ -451,11 +523,16 @@
         if kind is not ListKind.BROKEN and kind is not ListKind.PATCH:
             for gone in set(self.backends.known()) - {entry.row.server for entry in entries}:
                 self.backends.forget(gone)
+            kept = self.balancer.bans
+            self._names = {host: server for host, server in self._names.items() if server in kept}
         rows = [entry.row for entry in entries]
         for entry in entries:
             row = entry.row
+            self._names[entry.host] = row.server
             if row.state is State.GONE:
                 self.backends.forget(row.server)
+                if row.server not in self.balancer.bans:
+                    self._names.pop(entry.host, None)
                 continue
             displaced = self.backends.update(row.server, entry.dial, row.started, row.state is State.UP)
             if displaced is not None:
--- a/cometusher/seam.py
+++ b/cometusher/seam.py
@@ -120,6 +120,26 @@
         return lambda: bool(poller.poll(0))
 
 
+def inherited_listener(descriptor: int, address: Address) -> socket.socket:
+    """A listening socket that this process was started with; raises OSError if it is not that of the address."""
+    try:
+        listener = socket.socket(fileno=descriptor)
+    except OSError as fault:
+        raise OSError(f"descriptor {descriptor}: {fault.strerror}") from fault
+    try:
+        if listener.type != socket.SOCK_STREAM or not listener.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN):
+            raise OSError(f"descriptor {descriptor}: does not listen")
+        host, port = listener.getsockname()[:2]
+        if port != address[1] or host not in (address[0], "0.0.0.0", "::"):
+            raise OSError(f"descriptor {descriptor}: listens on {host}:{port}, not on {address[0]}:{address[1]}")
+    except OSError:
+        listener.detach()
+        raise
+    # A process that this one starts must not hold the callers' address open.
+    listener.set_inheritable(False)
+    return listener
+
+
 def open_listener(address: Address) -> socket.socket:
     """A socket that listens on an address; raises OSError."""
     family = socket.AF_INET6 if ":" in address[0] else socket.AF_INET
--- a/cometusher/service.py
+++ b/cometusher/service.py
@@ -15,6 +15,7 @@
 
 from cometusher import config, logs
 from cometusher.proxy import Proxy
+from cometusher.seam import inherited_listener
 
 
 class Parent(Protocol):
@@ -87,7 +88,10 @@
         print(f"cometusher: {fault}".replace("\n", " "), file=sys.stderr)
         return 2
     try:
-        uvloop.run(serve(settings))
+        listener = None
+        if settings.accept_fd is not None:
+            listener = inherited_listener(settings.accept_fd, settings.listen)
+        uvloop.run(serve(settings, listener))
     except OSError as fault:
         print(f"cometusher: listen: {fault}".replace("\n", " "), file=sys.stderr)
         return 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -10,6 +10,7 @@
 from fleetrig import FleetRig, fleet_rig
 
 from cometusher import backends, callers
+from weldroute import operations
 
 
 def _virtual(request: pytest.FixtureRequest) -> bool:
@@ -22,7 +23,7 @@
     """The proxy of a test ends at once; the waits of a real one are tested on a process."""
     if _virtual(request):
         return
-    monkeypatch.setattr(callers, "DRAIN_ACCEPT", 0.0)
+    monkeypatch.setattr(operations, "STOP_ACCEPT", 0.0)
 
 
 @pytest.fixture(autouse=True)
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -185,7 +185,7 @@
 class Server:
     """What an instance knows of one server of the next tier."""
 
-    __slots__ = ("breaker", "cold_credit", "cold_seen", "latency", "out", "row", "seen")
+    __slots__ = ("back", "breaker", "cold_credit", "cold_seen", "latency", "out", "row", "seen")
 
     def __init__(self, row: ServerRow) -> None:
         self.row = row
@@ -195,10 +195,17 @@
         self.seen = 0.0
         self.cold_credit = 0.0
         self.cold_seen = 0.0
+        self.back = 0.0  # when a ban on it ended, until discovery tells of a start since that ban began
+
+    @property
+    def started(self) -> float:
+        """When its process started, as far as is known; 0 for long ago."""
+        return max(self.row.started, self.back)
 
     def cold_until(self, rules: Rules) -> float:
         """When it will have been up for as long as servers stay cold."""
-        return self.row.started + rules.cold_for if self.row.started > 0.0 else 0.0
+        started = self.row.started if self.row.started > self.back else self.back
+        return started + rules.cold_for if started > 0.0 else 0.0
 
     def learn(self, now: float, latency: float) -> None:
         """Move the latency that picks follow."""
@@ -510,6 +517,8 @@
         self.settings = settings
         self.rng = Random(seed)
         self.servers: dict[ServerId, Server] = {}
+        self.bans: dict[ServerId, float] = {}  # since when operators want nothing sent there
+        self.returned: dict[ServerId, tuple[float, float]] = {}  # lately banned: from when to when
         self.ready: list[Server] = []
         self.near = Circle()  # where ordinary picks draw both candidates...
         self.far = Circle()  # ...and one more, where zones count
@@ -572,14 +581,59 @@
                 # Where it was still counts: repeats of what it may have run go to its group.
                 row = ServerRow(row.server, State.GONE, known.row.zone, known.row.cell, started=row.started)
             known.row = row
+        for row in rows:
+            self._recall(now, row.server)
         # Guards against growing with every machine that was ever replaced: its id never comes back.
         self.servers = {k: s for k, s in self.servers.items() if s.row.state is not State.GONE or s.out}
         self._arrange(now)
         return []
 
+    def ban(self, now: float, server: ServerId) -> list[Action]:
+        """Operators take a server out: nothing goes there until `unban`, whatever the list says."""
+        self.returned.pop(server, None)
+        if self.bans.setdefault(server, now) == now:
+            self._arrange(now)
+        return []
+
+    def unban(self, now: float, server: ServerId) -> list[Action]:
+        """Operators let it serve again.
+
+        Guards against pushing it over: it was most likely restarted meanwhile, and the list tells that late.
+        Harm: one that was not restarted is spared for as long as servers stay cold.
+        """
+        since = self.bans.pop(server, None)
+        if since is not None:
+            lately = now - self.settings.rules.cold_for
+            self.returned = {k: span for k, span in self.returned.items() if span[1] >= lately}
+            self.returned[server] = (since, now)
+            self._recall(now, server)
+            self._arrange(now)
+        return []
+
+    def _recall(self, now: float, number: ServerId) -> None:
+        """Apply what a past ban says of a server's start."""
+        if not self.returned:
+            return
+        span, server = self.returned.get(number), self.servers.get(number)
+        if span is None or server is None:
+            return
+        since, back = span
+        if server.row.started > since or now > back + self.settings.rules.cold_for:
+            server.back = 0.0
+            del self.returned[number]
+        elif server.back != back:
+            server.back = back
+            server.breaker = None
+            server.latency = 0.0
+            server.cold_credit = 0.0
+
+    def _takes(self, server: Server) -> bool:
+        """Whether anything may be sent there."""
+        return server.row.state is State.UP and server.row.server not in self.bans
+
     def _arrange(self, now: float) -> None:
-        """Rebuild the lists of ready servers; drained and gone ones leave them at once."""
-        self.ready = [s for s in self.servers.values() if s.row.state is State.UP]
+        """Rebuild the lists of ready servers; drained, banned and gone ones leave them at once."""
+        self.ready = [s for s in self.servers.values() if self._takes(s)]
         self.zones.clear()
         self.cells.clear()
         for server in self.ready:
@@ -618,7 +672,7 @@
         share that it can do for certain, both on average (a draw) and in any short span (a budget).
         """
         rules = self.settings.rules
-        age = max(0.0, now - server.row.started)
+        age = max(0.0, now - server.started)
         part = rules.cold_from + (1.0 - rules.cold_from) * min(1.0, age / max(rules.cold_for, 1e-6))
         draws = min(float(DRAWS), 2.0 / max(circle.warm_part, 0.01))
         if self.rng.random() >= part / draws:
@@ -722,7 +776,7 @@
         """
         last = request.attempts[-1]
         server = last.server
-        if last.how not in (None, Outcome.BROKEN) or server.row.state is not State.UP:
+        if last.how not in (None, Outcome.BROKEN) or not self._takes(server):
             return False
         if among is not None and server not in among:
             return False
@@ -876,7 +930,7 @@
         server = attempt.server
         server.out.pop(attempt, None)
         breaker = server.breaker
-        if breaker is None or how in (Outcome.VOID, Outcome.REJECTED) or attempt.sent < server.row.started:
+        if breaker is None or how in (Outcome.VOID, Outcome.REJECTED) or attempt.sent < server.started:
             return
         link = None
         if self.settings.zones > 1:
