A proxy that takes over another's callers refuses less; a returned backend is tried soon

Cause: the door's forecast divides those waiting by a pace smoothed over 2 s; when one proxy of two is drained the other's pace doubles and lags, so it refused up to 19 % of what came with answers as quick as ever. Now the larger of that pace and one over 0.5 s counts. A returned backend was left out where callers make few calls: the random draw that spares cold servers is left off until it is tried once; its budget stays.

--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -72,7 +72,8 @@
 ENTRY_END = 0.55  # ...and that at which it refuses all
 SORT_EVERY = 0.25  # seconds between orderings of requests by worth
 HORIZON = 0.5  # those waiting for longer than this part of their aim are stuck, not queued
-PACE_MEMORY = 2.0  # seconds over which the pace of answers is smoothed
+PACE_MEMORY = 2.0  # seconds over which the pace of answers is smoothed...
+PACE_RECENT = 0.5  # ...and over which a rise of it shows
 MEMORY = 3.0  # seconds over which shares of traffic and service are smoothed
 
 SUBSCRIBE, COPY = 1, 2  # timer tokens
@@ -185,7 +186,7 @@
 class Server:
     """What an instance knows of one server of the next tier."""
 
-    __slots__ = ("back", "breaker", "cold_credit", "cold_seen", "latency", "out", "row", "seen")
+    __slots__ = ("back", "breaker", "cold_credit", "cold_seen", "latency", "out", "row", "seen", "untried")
 
     def __init__(self, row: ServerRow) -> None:
         self.row = row
@@ -195,6 +196,7 @@
         self.seen = 0.0
         self.cold_credit = 0.0
         self.cold_seen = 0.0
+        self.untried = False  # nothing has gone there since a ban on it ended
         self.back = 0.0  # when a ban on it ended, until discovery tells of a start since that ban began
 
     @property
@@ -249,6 +251,7 @@
         "pending",
         "quota",
         "quota_at",
+        "recent",
         "served",
         "settings",
         "since",
@@ -274,7 +277,8 @@
         self.young: deque[Request] = deque()
         self.waiting = 0  # requests let in, unanswered and within their horizon
         self.aim = 0.0  # usual aim of what is asked
-        self.pace = 0.0  # answers a second, smoothed
+        self.pace = 0.0  # answers a second, smoothed...
+        self.recent = 0.0  # ...and of late
         self.paced_at = 0.0
         self.since = -1.0  # when the first request came
 
@@ -338,6 +342,9 @@
         pace = self.pace * max(0.0, 1.0 - (now - self.paced_at) / PACE_MEMORY)
         if known < 2.0 * PACE_MEMORY:
             pace /= 1.0 - math.exp(-known / PACE_MEMORY)  # smoothed from nothing
+        # Guards against refusing what another proxy's callers bring when it goes: there the pace rises with
+        # what is asked, and answers take no longer.
+        pace = max(pace, self.recent * max(0.0, 1.0 - (now - self.paced_at) / PACE_RECENT))
         wait = (self.waiting - PROTECTION) / max(pace, 1e-3) / self.aim
         return min(max((wait - ENTRY_START) / (ENTRY_END - ENTRY_START), 0.0), 1.0)
 
@@ -370,7 +377,9 @@
     def ended(self, now: float, request: Request, served: bool) -> None:
         """Count a request that got its final answer."""
         if served:
-            self.pace = self.pace * max(0.0, 1.0 - (now - self.paced_at) / PACE_MEMORY) + 1.0 / PACE_MEMORY
+            gap = now - self.paced_at
+            self.pace = self.pace * max(0.0, 1.0 - gap / PACE_MEMORY) + 1.0 / PACE_MEMORY
+            self.recent = self.recent * max(0.0, 1.0 - gap / PACE_RECENT) + 1.0 / PACE_RECENT
             self.paced_at = now
         if not self._settle(request):
             return
@@ -625,7 +634,8 @@
             server.back = back
             server.breaker = None
             server.latency = 0.0
-            server.cold_credit = 0.0
+            server.cold_credit, server.cold_seen = self.rng.random(), now
+            server.untried = True
 
     def _takes(self, server: Server) -> bool:
         """Whether anything may be sent there."""
@@ -669,13 +679,14 @@
         """Whether a cold server is passed over for this call.
 
         Guards against pushing it over: this instance alone gives it at most the part of a warm peer's
-        share that it can do for certain, both on average (a draw) and in any short span (a budget).
+        share that it can do for certain, both on average (a draw) and in any short span (a budget). One that
+        operators have put back is spared the draw until it is tried, or callers with few calls would leave it out.
         """
         rules = self.settings.rules
         age = max(0.0, now - server.started)
         part = rules.cold_from + (1.0 - rules.cold_from) * min(1.0, age / max(rules.cold_for, 1e-6))
         draws = min(float(DRAWS), 2.0 / max(circle.warm_part, 0.01))
-        if self.rng.random() >= part / draws:
+        if not server.untried and self.rng.random() >= part / draws:
             return True
         pace = 2.0 * part * self.rate / max(1, len(circle.used))
         if server.cold_seen <= 0.0:
@@ -758,6 +769,7 @@
     def _launch(self, now: float, request: Request, server: Server, out: list[Action]) -> None:
         if server.breaker is None:
             server.breaker = Breaker()
+        server.untried = False
         if server.cold_credit > 0.0:
             server.cold_credit -= 1.0
         attempt = Attempt(server, now)
@@ -824,8 +836,8 @@
                 if link is not None and link.refuses(now, 0.0, rng):
                     skipped = server
                     continue
-                score = server.score(now, self.pooled)
-                if circle is self.far:
+                score = 0.0 if server.untried else server.score(now, self.pooled)
+                if circle is self.far and not server.untried:
                     score += TOLL * self.settings.prices.cross_zone * timeout
                 chosen.append((score, len(chosen), server))
                 break
