--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -14,8 +14,9 @@
 
 from cometusher.budget import Descriptors
 from cometusher.config import Address
-from cometusher.http1 import Malformed, Response, ResponseParser
+from cometusher.http1 import LAST_CHUNK, MAX_BODY, Malformed, Response, ResponseParser, chunk
 from cometusher.seam import Network
+from cometusher.stream import BodyStream
 from weldroute import Outcome
 from weldroute.model import ServerId
 
@@ -26,7 +27,10 @@
 CROSSINGS, CROSSINGS_FOR = 3, 20.0  # so many such resets in so many seconds make idle connections suspect
 IDLE_AT_LEAST = 0.1  # seconds; a reset of a younger connection, or of a new one, has another cause
 ANSWER_STALL = 0.3  # seconds without a byte after which an answer that had begun to come has broken...
-ANSWER_TIME = 1.0  # ...and seconds from its first byte to its last
+ANSWER_TIME = 1.0  # ...and seconds from its first byte to its last, for one that is read whole
+HOLD = 0.35  # seconds after which an answer of unknown length goes on while it comes...
+HOLD_LONG = 0.03  # ...and the start of one that is said to be long: spoilt ones end before that
+PASS_STALL = 12.0  # seconds without a byte after which an answer that goes on while it comes has broken
 LATE = 0.2  # seconds by which a sweep may be late and still tell silence from not having listened
 
 
@@ -36,6 +40,12 @@
     def wanted(self, attempt: Attempt) -> bool:
         """Whether its request still waits for an answer."""
 
+    def answer_begun(self, attempt: Attempt, response: Response) -> bool:
+        """A long answer has begun; whether it is to be passed on, by `answer_piece`, while it comes."""
+
+    def answer_piece(self, attempt: Attempt, piece: bytes) -> None:
+        """The next bytes of it."""
+
     def attempt_ended(self, attempt: Attempt, how: Outcome, response: Response | None, why: str) -> None:
         """The one end of an attempt; with OK comes the answer."""
 
@@ -44,7 +54,8 @@
     """One sending of one request to one backend."""
 
     __slots__ = (
-        "body", "connection", "ended", "head", "number", "owner", "repeatable", "sent", "server", "task",
+        "body", "chunked", "connection", "ended", "head", "number", "owner", "repeatable", "sent", "server", "stream",
+        "task",
     )
 
     def __init__(self, owner: object, number: int, server: ServerId, sent: float, repeatable: bool) -> None:
@@ -55,6 +66,8 @@
         self.repeatable = repeatable  # harmless to repeat, so that a reset costs little
         self.head = b""
         self.body: bytearray | bytes = b""
+        self.stream: BodyStream | None = None  # the body, where it is passed on while it comes...
+        self.chunked = False  # ...and whether in chunks
         self.connection: BackendConnection | None = None
         self.task: asyncio.Task[None] | None = None  # connecting
         self.ended = False
@@ -89,6 +102,10 @@
         self.heard = 0.0
         self._parser = ResponseParser()
         self._begun = 0.0  # when the first byte of the answer came; 0 while there is none
+        self._passing = False  # the answer goes on while it comes
+        self._held = False  # nothing is read, for the caller takes no more
+        self._unsent = False  # the last byte of the request is not written
+        self._full = False  # the backend takes no more of the request
         self._pending: Callable[[], bool] = lambda: False
 
     # ---- the transport's calls -----------------------------------------------------------
@@ -117,8 +134,81 @@
                 self._answered(self.attempt, response)
             elif self._parser.response is None:
                 self._begun = 0.0  # 1xx answers don't count: the backend is still at work
-            elif not self._begun:
-                self._begun = self.heard
+            else:
+                self._begun = self._begun or self.heard
+                self._pass_on()
+
+    def _pass_on(self) -> None:
+        """Let an answer go on while it comes, if it is a long one or comes slowly and may become long.
+
+        Guards against holding back what callers wait for, and against holding long answers in memory. A short
+        one of known length is read whole, for it can be had again elsewhere if it turns out spoilt.
+        """
+        response, attempt = self._parser.response, self.attempt
+        if response is None or attempt is None or self._passing or response.status != 200 or not response.received:
+            return  # bytes of a body say that the head is whole
+        held = self._pool.loop.time() - self._begun
+        if response.received <= MAX_BODY:
+            if response.length is None:
+                if held <= HOLD:
+                    return
+            elif response.length <= MAX_BODY:
+                return
+            elif held < HOLD_LONG:
+                self._pool.loop.call_later(HOLD_LONG, self._pass_on_later, response)
+                return
+        if not self._pool.sink.answer_begun(attempt, response):
+            return
+        if self.attempt is not attempt:
+            return  # the caller has gone meanwhile
+        self._passing = True
+        first, response.body = bytes(response.body), bytearray()
+        response.sink = self._piece
+        self._piece(first)
+
+    def _pass_on_later(self, response: Response) -> None:
+        if self._parser.response is response:
+            self._pass_on()
+
+    def _piece(self, piece: bytes) -> None:
+        if self.attempt is not None:
+            self._pool.sink.answer_piece(self.attempt, piece)
+
+    def hold(self, held: bool) -> None:
+        """Read no further, or read on."""
+        self._held = held
+        self.heard = self._pool.loop.time()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if held:
+            self.transport.pause_reading()
+        else:
+            self.transport.resume_reading()
+
+    # ---- a body that is passed on while it comes -----------------------------------------
+
+    def pause_writing(self) -> None:
+        self._full = True
+
+    def resume_writing(self) -> None:
+        self._full = False
+        if self._unsent and self.attempt is not None and self.attempt.stream is not None:
+            self.attempt.stream.push()
+
+    def takes_more(self) -> bool:
+        """Whether the backend has room for more of the request."""
+        return not self._full and self.transport is not None
+
+    def take_piece(self, piece: bytes) -> None:
+        """Write the next bytes of the body."""
+        if self.transport is not None and self.attempt is not None and piece:
+            self.transport.write(chunk(piece) if self.attempt.chunked else piece)
+
+    def take_end(self) -> None:
+        """The body is whole."""
+        self._unsent = False
+        if self.transport is not None and self.attempt is not None and self.attempt.chunked:
+            self.transport.write(LAST_CHUNK)
 
     def eof_received(self) -> None:
         if self.attempt is not None:
@@ -144,6 +234,9 @@
         self.started = self.heard = self._pool.loop.time()
         self._begun = 0.0
         self.transport.write(attempt.head + attempt.body)
+        if attempt.stream is not None:
+            self._unsent = True
+            attempt.stream.attach(self)
 
     def clean(self) -> bool:
         """Whether an idle connection is still fit for a request.
@@ -156,17 +249,24 @@
             return False
         return not self._pending()
 
+    def take_loss(self) -> None:
+        """The rest of the body will never come: what is written is of no use to the backend."""
+        self._spoilt("its body is lost")
+
     # ---- the answer ----------------------------------------------------------------------
 
     def _answered(self, attempt: Attempt, response: Response) -> None:
+        early = self._unsent
         self._release()
         if self._parser.surplus:
             log.info("more came than belongs to an answer; closing")
-        if response.keep_alive and not response.until_eof and not self._parser.surplus:
+        if response.keep_alive and not early and not response.until_eof and not self._parser.surplus:
             self._pool.park(self)
         else:
             self.close()
         how, why = classify(response)
+        if early and how is Outcome.OK:
+            how, why = Outcome.BROKEN, "answered before the request was whole"
         self._pool.end(attempt, how, response, why)
 
     # ---- ends ----------------------------------------------------------------------------
@@ -174,7 +274,12 @@
     def _release(self) -> None:
         if self.attempt is not None:
             self.attempt.connection = None
+            if self.attempt.stream is not None:
+                self.attempt.stream.detach(self)
         self.attempt = None
+        self._passing = self._unsent = False
+        if self._held:
+            self.hold(False)
 
     def _spoilt(self, why: str) -> None:
         """No answer can come of this any more; what else is on the connection is of no use."""
@@ -190,9 +295,13 @@
         if self.heard == self.started and self._pool.loop.time() - self.started < AT_ONCE:
             self._pool.reset_at_once(self.started - self.idle_since if self.uses > 1 else 0.0)
         response = self._parser.response
+        unsent = self._unsent
         self._release()
         if response is not None and self._parser.head_done and response.status != 200:
             self._pool.end(attempt, *cut_short(response))
+        elif unsent:
+            # A backend begins a request with its last byte: this one never ran.
+            self._pool.end(attempt, Outcome.UNREACHABLE, None, f"{why} before the request was whole")
         else:
             self._pool.end(attempt, Outcome.BROKEN, None, why)
 
@@ -203,9 +312,12 @@
         is still time to try again: a backend at work on an answer is never silent for so long. Harm: a
         network that holds back a part of an answer for longer looks like a broken one.
         """
-        if self.attempt is None or not self._begun:
+        if self.attempt is None or not self._begun or self._held:
             return
-        if now - self.heard > ANSWER_STALL or now - self._begun > ANSWER_TIME:
+        if self._passing:
+            if now - self.heard > PASS_STALL:
+                self._spoilt(f"the answer stopped coming: {self.progress()}")
+        elif now - self.heard > ANSWER_STALL or now - self._begun > ANSWER_TIME:
             self._spoilt(f"the answer stopped coming: {self.progress()}")
 
     def progress(self) -> str:
@@ -214,7 +326,7 @@
         response = self._parser.response
         if response is None or not self._parser.head_done:
             return f"no whole head of an answer on {used} connection"
-        return f"{len(response.body)} of {response.length} bytes of an answer on {used} connection"
+        return f"{response.received} of {response.length} bytes of an answer on {used} connection"
 
     def close(self) -> None:
         """Close at once; the attempt on it, if any, has been dealt with."""
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -9,21 +9,29 @@
 from cometusher.budget import BodyMemory, Descriptors
 from cometusher.http1 import (
     CONTINUE,
+    LAST_CHUNK,
     MAX_BODY,
+    MAX_STREAM,
     Headers,
     Malformed,
     Request,
     RequestParser,
+    chunk,
     response_head,
 )
 from cometusher.seam import Listener, Network
+from cometusher.stream import KEPT, BodyStream
 from weldroute.operations import Posture
 
 log = logging.getLogger(__name__)
 
 ACCEPTS = 64  # at one wake-up, so that accepting can't starve what is under way
-REQUEST_TIME = 2.1  # seconds for a whole request, from its first byte or, for the first, from connecting
+REQUEST_TIME = 2.3  # seconds for a head, from its first byte or, for the first, from connecting
+BODY_STALL = 1.5  # seconds in which nothing comes of a body
+BODY_RATE = 16 * 1024  # bytes a second of a body, on average...
+BODY_START = 2.0  # ...after so many seconds
 WRITE_STALL = 5.0  # seconds in which a caller takes nothing of an answer
+PASS_STALL = 12.0  # ...and of one that is passed on while it comes: windows of slow readers open in large steps
 IDLE_TIMEOUT = 10.0  # seconds between requests...
 IDLE_CROWDED = 2.1  # ...and while callers hold more than half of their descriptors
 EVICT_SILENT = 0.15  # seconds after which one that has said nothing makes room for others...
@@ -32,6 +40,7 @@
 EVICT_MOST = 16  # of those at once: they come by hundreds
 LINGER = 0.5  # seconds in which what a caller still writes is read and dropped
 LINGER_BYTES = 256 * 1024  # and how much of it
+LINGER_BODY = 30.0  # seconds in which the rest of a body that nobody wants is read and dropped
 
 
 class Taken(Protocol):
@@ -40,6 +49,12 @@
     def caller_left(self) -> None:
         """The caller is gone; nothing can be answered any more."""
 
+    def body_whole(self) -> None:
+        """The last byte of a body that was passed on while it came has come."""
+
+    def answer_held(self, held: bool) -> None:
+        """The caller takes no more for now, or takes more again."""
+
 
 class RequestHandler(Protocol):
     """Who takes requests."""
@@ -65,7 +80,14 @@
         self._request: Request | None = None  # handed on and not yet answered
         self._taken: Taken | None = None
         self._closing = False
+        self._closes = False  # the answer being passed on ends the connection
         self._dropped = 0  # bytes read and dropped while lingering
+        self._linger_until = 0.0
+        self._heard = 0.0  # when bytes came last
+        self._head_at = 0.0  # when the head of the request being read was whole
+        self._chunked = False  # the answer being passed on
+        self._passing = False  # an answer has begun and goes on
+        self._unread = 0  # bytes that wait to be taken by the caller, when last looked at
         self.carried = False  # a whole request has come on it
         self.since = 0.0  # of the present state, for time limits
 
@@ -78,13 +100,14 @@
         self._callers.opened(self)
 
     def data_received(self, data: bytes) -> None:
+        self._heard = self._callers.loop.time()
         if self._closing:
             self._drop(len(data))
             return
         if self._request is None and not self.mid_request:
             # The first request's time counts from connecting, or a caller could put it off for good.
             if self.carried:
-                self.since = self._callers.loop.time()
+                self.since = self._heard
             self._callers.not_idle(self)
         try:
             self._parser.feed(data)
@@ -101,7 +124,8 @@
     def _drop(self, count: int) -> None:
         """Read and drop, so that closing does not destroy the answer on its way; but not without end."""
         self._dropped += count
-        if self._dropped > LINGER_BYTES and self._transport is not None and self._transport.is_reading():
+        limit = MAX_STREAM if self._linger_until else LINGER_BYTES
+        if self._dropped > limit and self._transport is not None and self._transport.is_reading():
             self._transport.pause_reading()
 
     def eof_received(self) -> None:
@@ -114,9 +138,26 @@
 
     def pause_writing(self) -> None:
         self.since = self._callers.loop.time()
+        if self._passing and self._taken is not None:
+            self._taken.answer_held(True)
 
     def resume_writing(self) -> None:
         self.since = self._callers.loop.time()
+        if self._passing and self._taken is not None:
+            self._taken.answer_held(False)
+
+    # ---- a body that is passed on while it comes -----------------------------------------
+
+    def hold_body(self) -> None:
+        """Read no further."""
+        if self._transport is not None:
+            self._transport.pause_reading()
+
+    def more_body(self) -> None:
+        """Read on."""
+        self._heard = self._callers.loop.time()
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.resume_reading()
 
     # ---- reading -------------------------------------------------------------------------
 
@@ -140,9 +181,12 @@
             raise Malformed(400, "more before the answer to a request")
 
     def on_request_head(self, request: Request) -> None:
+        self._head_at = self._heard
         if request.method not in (b"GET", b"POST"):
             raise Malformed(405, "method not allowed")
         room = MAX_BODY if request.length is None else request.length
+        if room > MAX_BODY:
+            room = KEPT
         if not self._callers.memory.take(room):
             raise Malformed(503, "no memory for bodies")
         request.charged = room
@@ -153,19 +197,38 @@
             if self._transport is not None and request.length != 0:
                 self._transport.write(CONTINUE)
 
+    def on_large(self, request: Request) -> None:
+        if not self._callers.memory.take(KEPT - request.charged):
+            raise Malformed(503, "no memory for bodies")
+        request.charged = KEPT
+        first, request.body = bytes(request.body), bytearray()
+        request.stream = BodyStream(self, first)
+        self._speaks()
+        self._whole = request
+
     def on_request(self, request: Request) -> None:
-        if not self.carried:
-            self._callers.speaks(self)
+        if request.stream is not None:
+            request.stream.finish()
+            if self._request is request and self._taken is not None:
+                self._taken.body_whole()
+            return
+        self._speaks()
         self._callers.memory.give(request.charged - len(request.body))
         request.charged = len(request.body)
-        self.carried = True
         self._whole = request
 
+    def _speaks(self) -> None:
+        if not self.carried:
+            self._callers.speaks(self)
+        self.carried = True
+
     def _forget(self, request: Request) -> None:
         """Let go of a request's body."""
         self._callers.memory.give(request.charged)
         request.charged = 0
         request.body = bytearray()
+        if request.stream is not None:
+            request.stream.drop()
 
     def _drop_partial(self) -> None:
         current, self._parser.current = self._parser.current, None
@@ -203,6 +266,44 @@
 
     # ---- answering -----------------------------------------------------------------------
 
+    def begin_answer(self, status: int, headers: Headers, length: int | None) -> None:
+        """Write the head of an answer whose body follows in pieces."""
+        close = self._must_close()
+        assert self._request is not None
+        self._chunked = length is None and not self._request.http10
+        self._passing = True
+        self._unread = 0
+        self.since = self._callers.loop.time()
+        if length is not None:
+            headers.append((b"content-length", b"%d" % length))
+        elif self._chunked:
+            headers.append((b"transfer-encoding", b"chunked"))
+        else:
+            close = True  # its end is the connection's
+        self._closes = close
+        if self._transport is not None:
+            self._transport.write(response_head(status, headers, close))
+
+    def pass_on(self, piece: bytes) -> None:
+        """Write a piece of the answer that has begun."""
+        if self._transport is not None and piece:
+            self._transport.write(chunk(piece) if self._chunked else piece)
+
+    def end_answer(self) -> None:
+        """The answer that has begun is whole."""
+        self._passing = False
+        if self._transport is not None and self._chunked:
+            self._transport.write(LAST_CHUNK)
+        self._answered(self._closes)
+
+    def cut_answer(self) -> None:
+        """The answer that has begun can't be finished: the caller sees that by a reset."""
+        self._passing = False
+        self._finish_request()
+        self._closing = True
+        if self._transport is not None:
+            self._transport.abort()
+
     def answer(self, status: int, headers: Headers, body: bytes | bytearray) -> None:
         """Write the answer to the request that is handed on."""
         close = self._must_close()
@@ -218,8 +319,14 @@
         written is dropped, and the next try costs them a connection. Harm: a caller with one odd request
         in a hundred opens a connection for each.
         """
+        passing = self._passing
         self._leave()
-        if self._transport is not None:
+        if self._transport is None:
+            return
+        if passing:
+            log.info("malformed in the middle of an answer: %d %s", fault.status, fault)
+            self._transport.abort()
+        else:
             self._refuse_malformed(fault)
 
     def release_body(self) -> None:
@@ -229,6 +336,8 @@
 
     def _must_close(self) -> bool:
         assert self._request is not None
+        if self._parser.current is self._request:
+            return True  # the rest of a body that nobody wants any more
         return not self._request.keep_alive or self._callers.posture.closes or self._callers.crowded
 
     def _finish_request(self) -> None:
@@ -237,9 +346,15 @@
         self._request = None
 
     def _answered(self, close: bool) -> None:
+        unfinished = self._parser.current is self._request is not None
         self._finish_request()
         self.since = self._callers.loop.time()
-        if close:
+        if unfinished and self._transport is not None:
+            # Guards the answer: with bytes unread, a close would reset the connection and destroy it.
+            self._parser.current = None
+            self._linger_until = self.since + LINGER_BODY
+            self._linger()
+        elif close:
             self._closing = True
             if self._transport is not None:
                 self._transport.close()
@@ -277,19 +392,35 @@
         transport = self._transport
         if transport is None:
             return
-        if transport.get_write_buffer_size() > 0:
-            if age > WRITE_STALL:
+        unread = transport.get_write_buffer_size()
+        if unread > 0:
+            if unread < self._unread:
+                self.since = now
+            elif age > (PASS_STALL if self._passing else WRITE_STALL):
                 log.info("a caller takes no more of its answer; closing")
                 transport.abort()
+            self._unread = unread
         elif self._closing:
-            if age > LINGER:
+            stalled = now > self._linger_until or now - self._heard > BODY_STALL
+            if age > LINGER and stalled:
                 transport.abort()
         elif self.idle:
             if age > (idle_for if self.carried else REQUEST_TIME):
                 self.close()
-        elif self.partial and age > REQUEST_TIME:
+        elif self.mid_request and self._late(now):
             self.turn_away(Malformed(408, "the request did not come in time"))
 
+    def _late(self, now: float) -> bool:
+        """Whether the request being read comes too slowly: its head by the clock, its body by its progress."""
+        request = self._parser.current
+        assert request is not None
+        if not self._parser.head_done:
+            return now - self.since > REQUEST_TIME
+        if self._transport is None or not self._transport.is_reading():
+            return False  # held back from here
+        due = BODY_RATE * (now - self._head_at - BODY_START)
+        return now - self._heard > BODY_STALL or (request.received < due and request.stream is None)
+
     def evict(self, now: float) -> bool:
         """Make room for others, if nothing of worth is on this connection that has carried nothing yet."""
         least = EVICT_ENDING if self._closing else EVICT_PARTIAL if self.mid_request else EVICT_SILENT
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -59,6 +59,7 @@
 SWEEP = 0.1  # seconds between looks at idle connections and time limits
 FIRST_LIST = 2.0  # seconds that a process with a listener of others waits for its first list
 REPORT = 10.0  # seconds between lines of figures in the log
+COMING = 3600.0  # seconds until the deadline of a request whose body still comes
 DRAIN_FIRST = 0.7  # seconds after the order to stop in which requests come that must have their whole time
 DRAIN_LONGEST = 3.0  # seconds of a caller's time that the end by force waits for, at most
 DRAIN_SPARE = 0.2  # seconds before that end by which all is answered
@@ -83,8 +84,8 @@
     """A request that was taken: one final answer is owed, and its attempts end here."""
 
     __slots__ = (
-        "answered", "attempts", "call_id", "caller", "deadline", "headers", "open", "proxy", "repeatable", "request",
-        "rid", "timer", "why",
+        "answered", "attempts", "budget", "call_id", "caller", "deadline", "headers", "open", "passing", "proxy",
+        "repeatable", "request", "rid", "timer", "why",
     )
 
     def __init__(
@@ -96,6 +97,8 @@
         self.rid = rid
         self.call_id = call_id
         self.deadline = deadline
+        self.budget = 0.0  # seconds from its last byte that the caller gives
+        self.passing: Attempt | None = None  # whose answer goes on while it comes
         self.headers: Headers = []
         self.repeatable = False  # the class is harmless to repeat
         self.attempts: list[Attempt] = []
@@ -107,6 +110,16 @@
     def caller_left(self) -> None:
         self.proxy.caller_left(self)
 
+    def body_whole(self) -> None:
+        self.proxy.body_whole(self)
+
+    def body_spent(self) -> None:
+        self.proxy.body_spent(self)
+
+    def answer_held(self, held: bool) -> None:
+        if self.passing is not None and self.passing.connection is not None:
+            self.passing.connection.hold(held)
+
 
 class Proxy:
     """One proxy: its parts, and the dispatch between them and the module."""
@@ -345,18 +358,41 @@
         usual = self._usual[kind]
         # Smoothed: one caller that claims a long time must not put off the end for all.
         self._usual[kind] += (budget - usual) / 32.0 if usual else budget
-        deadline = min(now + budget, self._latest)
+        stream = request.stream
+        coming = stream is not None and not stream.done
+        deadline = now + COMING if coming else min(now + budget, self._latest)
         self._count += 1
         call_id = request.header(b"x-call-id") or b""
         exchange = Exchange(self, caller, request, str(self._count), call_id, deadline)
+        exchange.budget = budget
         exchange.headers = [h for h in end_to_end(request.headers) if h[0] != b"x-budget"]
         exchange.repeatable = self.config.settings.classes[kind].repeat is Repeat.SAFE
         self._exchanges[exchange.rid] = exchange
         self._open_ids.add(exchange.call_id)
         exchange.timer = self.loop.call_later(max(0.0, deadline - now), self._deadline, exchange)
-        self._dispatch(exchange, lambda now: self.balancer.request(now, exchange.rid, kind, tenant, deadline))
+        if stream is not None:
+            stream.on_spent = exchange.body_spent
+        self._dispatch(exchange, lambda now: self.balancer.request(now, exchange.rid, kind, tenant, deadline, coming))
         return exchange
 
+    def body_whole(self, exchange: Exchange) -> None:
+        """The last byte of a body that is passed on while it comes: the request's time counts from here."""
+        if exchange.answered:
+            return
+        now = self.clock.now()
+        exchange.deadline = min(now + exchange.budget, self._latest)
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+        exchange.timer = self.loop.call_later(max(0.0, exchange.deadline - now), self._deadline, exchange)
+        for attempt in exchange.attempts:
+            if not attempt.ended:
+                attempt.sent = now
+        self._dispatch(exchange, lambda now: self.balancer.whole(now, exchange.rid, exchange.deadline))
+
+    def body_spent(self, exchange: Exchange) -> None:
+        """It can't be sent again."""
+        self.balancer.spent(exchange.rid)
+
     def _read(self, request: Request) -> tuple[int, float | None]:
         """Class and budget of a request.
 
@@ -376,7 +412,7 @@
         repeat = self.config.settings.classes[kind].repeat
         if request.method != (b"GET" if repeat is Repeat.SAFE else b"POST"):
             raise Malformed(405, "the method does not fit the class")
-        if request.body and repeat is Repeat.SAFE:
+        if (request.body or request.stream) and repeat is Repeat.SAFE:
             raise Malformed(400, "a body where none belongs")
         if bool(request.header(b"idempotency-key")) is not (repeat is Repeat.KEYED):
             raise Malformed(400, "Idempotency-Key does not fit the class")
@@ -386,6 +422,9 @@
     def caller_left(self, exchange: Exchange) -> None:
         """The caller has gone away."""
         if exchange.answered:
+            if exchange.passing is not None:
+                self._tally("left")
+                self._stop(exchange.passing, Outcome.CANCELLED)  # nobody is there to read the rest
             return
         self._tally("left")
         exchange.answered = True
@@ -468,14 +507,26 @@
         exchange.open += 1
         request = exchange.request
         left = exchange.deadline - now
+        stream = request.stream
+        if stream is not None and not stream.done:
+            left = exchange.budget
         if action.timeout > 0.0 and action.timeout < left:
             left = action.timeout
             self.loop.call_later(left, self._attempt_timeout, attempt)
         headers = [*exchange.headers, (b"x-budget", format_budget(left))]
-        if request.body or request.method == b"POST":
-            headers.append((b"content-length", b"%d" % len(request.body)))
+        body: bytes | bytearray = request.body
+        if stream is not None and stream.done and not stream.spent:
+            body, stream = stream.whole(), None
+        if stream is not None and request.length is None:
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif stream is not None and request.length is not None:
+            headers.append((b"content-length", b"%d" % request.length))
+        elif body or request.method == b"POST":
+            headers.append((b"content-length", b"%d" % len(body)))
         attempt.head = request_head(request.method, request.target, headers)
-        attempt.body = request.body
+        attempt.body = body
+        attempt.stream = stream
+        attempt.chunked = stream is not None and request.length is None
         self.backends.send(attempt)
 
     def _stop(self, attempt: Attempt, how: Outcome) -> None:
@@ -496,6 +547,27 @@
         assert isinstance(exchange, Exchange)
         return not exchange.answered and attempt.server not in self.balancer.bans
 
+    def answer_begun(self, attempt: Attempt, response: Response) -> bool:
+        """A long answer has begun: it is this request's, from here on whatever comes of it."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        if exchange.answered:
+            return False
+        exchange.answered = True
+        exchange.passing = attempt
+        if exchange.timer is not None:
+            exchange.timer.cancel()
+            exchange.timer = None
+        exchange.caller.begin_answer(200, _passed_on(response), response.length)
+        self._dispatch(exchange, lambda now: self.balancer.begun(now, exchange.rid, attempt.number))
+        return True
+
+    def answer_piece(self, attempt: Attempt, piece: bytes) -> None:
+        """The next bytes of it."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        exchange.caller.pass_on(piece)
+
     def attempt_ended(self, attempt: Attempt, how: Outcome, response: Response | None, why: str) -> None:
         """The end of an attempt, told to the module; a first success is passed on."""
         exchange = attempt.owner
@@ -505,7 +577,15 @@
         if how is not Outcome.OK and how is not Outcome.CANCELLED:
             exchange.why = f"backend {attempt.server:x}: {why}"
             self._tally(how.value)
-        if not exchange.answered and how is Outcome.OK and response is not None:
+        if exchange.passing is attempt:
+            exchange.passing = None
+            if how is Outcome.OK:
+                self._tally("served")
+                exchange.caller.end_answer()
+            else:
+                log.info("cut: %s", exchange.why)
+                exchange.caller.cut_answer()
+        elif not exchange.answered and how is Outcome.OK and response is not None:
             exchange.answered = True
             self._tally("served")
             exchange.caller.answer(200, _passed_on(response), response.body)
--- a/cometusher/virtual/world.py
+++ b/cometusher/virtual/world.py
@@ -422,6 +422,8 @@
                 ledger.answered(now, rid, int(answer.line.split()[1]), answer.body, want)
             elif end is End.LOST:
                 ledger.lost(now, rid)
+            elif end is End.CUT:
+                ledger.cut(now, rid)
             else:
                 ledger.left(now, rid)
                 if end is End.UNREACHED and door.up and now < door.open_until:
@@ -665,6 +667,7 @@
             node.idle_for = fault.by
             return lambda: setattr(node, "idle_for", 5.0)
         node.mood = what
+        self.ledger.broken_off.add(node.host)
         return node.calm
 
     def _with_own(
--- a/standins/courier.py
+++ b/standins/courier.py
@@ -20,7 +20,8 @@
     """How a parcel ended, as its sender sees it."""
 
     ANSWERED = "answered"
-    LOST = "lost"  # the connection ended with no whole answer
+    LOST = "lost"  # the connection ended with no answer
+    CUT = "cut"  # it ended in the middle of an answer, and that shows
     UNREACHED = "unreached"  # no connection, or it ended before the last byte was written
     LEFT = "left"  # the sender went away
 
@@ -124,7 +125,7 @@
             parcel.tries += 1
             self._courier.connect(parcel)
         else:
-            parcel.finish(End.LOST, None)
+            parcel.finish(End.CUT if b"\r\n\r\n" in self._buffer else End.LOST, None)
 
     def close(self) -> None:
         """End in order."""
--- a/tests/unit/test_http1.py
+++ b/tests/unit/test_http1.py
@@ -17,6 +17,8 @@
 
     def on_request_head(self, request: Request) -> None: ...
 
+    def on_large(self, request: Request) -> None: ...
+
     def on_request(self, request: Request) -> None:
         self.requests.append(request)
 
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -323,12 +323,17 @@
                 return True
         elif now >= self.sort_at + MEMORY:
             self._decay(now)
-        pending.append(request)
-        request.horizon = now + HORIZON * aim
+        if not request.coming:
+            self.join(now, request)
+        return False
+
+    def join(self, now: float, request: Request) -> None:
+        """Count a request that is let in as one that waits."""
+        self.pending.append(request)
+        request.horizon = now + HORIZON * self.settings.classes[request.kind].aim
         request.young = True
-        young.append(request)
+        self.young.append(request)
         self.waiting += 1
-        return False
 
     def latency_ratio(self, now: float) -> float:
         """The chance for the wait that those waiting forecast, as a part of the aim.
@@ -464,8 +469,8 @@
     """A request that a final answer is owed for, or that still has attempts out."""
 
     __slots__ = (
-        "arrived", "attempts", "bound", "copy_at", "counted", "deadline", "done", "horizon", "id", "kind", "open",
-        "slot", "tenant", "young",
+        "arrived", "attempts", "bound", "coming", "copy_at", "counted", "deadline", "done", "horizon", "id", "kind",
+        "open", "slot", "spent", "tenant", "young",
     )
 
     def __init__(self, rid: RequestId, kind: int, tenant: int, now: float, deadline: float) -> None:
@@ -481,6 +486,8 @@
         self.counted = False  # by the entry's ratio
         self.horizon = 0.0  # when it stops to count as queued
         self.young = False  # counted as queued
+        self.coming = False  # its last byte has not come
+        self.spent = False  # its body can't be sent again
         self.bound = False  # a stream has begun: the request belongs to one attempt
         self.copy_at = 0.0  # when a second copy is due
 
@@ -700,14 +707,19 @@
     # ---- requests ------------------------------------------------------------------------
 
     def request(
-        self, now: float, rid: RequestId, kind: int = 0, tenant: int = 0, deadline: float | None = None
+        self, now: float, rid: RequestId, kind: int = 0, tenant: int = 0, deadline: float | None = None,
+        coming: bool = False,
     ) -> list[Action]:
-        """A new request; exactly one final answer is owed from here on."""
+        """A new request; exactly one final answer is owed from here on.
+
+        One whose body is still `coming` goes out while it comes, with a far deadline; `whole` tells of its end.
+        """
         if not 0 <= kind < len(self.settings.classes):
             raise ValueError(f"kind: no class has index {kind}")
         if deadline is None:
             deadline = now + self.settings.classes[kind].deadline
         request = Request(rid, kind, tenant, now, deadline)
+        request.coming = coming
         self.requests[rid] = request
         self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
         # The pace of calls asked, not sent: where all are cold nothing would ever be sent.
@@ -725,10 +737,37 @@
                 return out
         if deadline <= now or not self._send(now, request, None, True, out):
             self._answer(now, request, out)
-        else:
+        elif not coming:
             self._plan_copy(now, request, out)
         return out
 
+    def whole(self, now: float, rid: RequestId, deadline: float) -> list[Action]:
+        """The last byte of a request that went out while it came: its time, and its attempt's, count from here.
+
+        Guards what is learned of servers and of load against callers that send slowly.
+        """
+        request = self.requests.get(rid)
+        if request is None or request.done or not request.coming:
+            return []
+        request.coming = False
+        request.arrived, request.deadline = now, deadline
+        for attempt in request.attempts:
+            if attempt.open:
+                attempt.sent = now
+                attempt.server.out[attempt] = None
+        if self.entry is not None and not request.counted:
+            self.entry.join(now, request)
+        out: list[Action] = []
+        if not request.spent:
+            self._plan_copy(now, request, out)
+        return out
+
+    def spent(self, rid: RequestId) -> None:
+        """A part of this request's body is let go: it can't be sent again."""
+        request = self.requests.get(rid)
+        if request is not None:
+            request.spent = True
+
     def _plan_copy(self, now: float, request: Request, out: list[Action]) -> None:
         """Note when a second copy is due.
 
@@ -773,7 +812,8 @@
         if server.cold_credit > 0.0:
             server.cold_credit -= 1.0
         attempt = Attempt(server, now)
-        server.out[attempt] = None
+        if not request.coming:
+            server.out[attempt] = None
         request.attempts.append(attempt)
         request.open += 1
         out.append(Send(request.id, server.row.server))
@@ -868,7 +908,7 @@
     def _again(self, now: float, request: Request, out: list[Action]) -> bool:
         """Try a further attempt within the rules and the retry budget."""
         limits = self.settings.limits
-        if request.done or request.bound or now >= request.deadline or self.retry_tokens < 1.0:
+        if request.done or request.bound or request.spent or now >= request.deadline or self.retry_tokens < 1.0:
             return False
         if len(request.attempts) >= limits.max_attempts:
             return False
