--- a/weldroute/operations.py
+++ b/weldroute/operations.py
@@ -129,7 +129,7 @@
         """The order to end: those that stay connected are served for `keep` seconds more."""
         if self._stopped_at is None:
             self._stopped_at = now
-            self._keep = keep
+            self._keep = max(keep, STOP_ACCEPT)  # what connects until then is to be served
 
     def ready(self) -> Verdict:
         """Whether this process can serve."""
