Bans, drains, the list and what was learned outlive an upgrade

Cause: a new version began with nothing: its breakers, pace and rate were empty, bans were gone, and both processes took the whole budget of descriptors. Change: standing orders and what was learned go through the shared folder with a form number and a check sum; a ledger of shared memory tells descriptors, bodies and stages; the older process yields.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -422,6 +422,11 @@
         """The ids of all backends."""
         return list(self._backends)
 
+    def dial(self, server: ServerId) -> Address | None:
+        """Where it is."""
+        backend = self._backends.get(server)
+        return backend.dial if backend is not None else None
+
     def drop_idle(self, server: ServerId) -> None:
         """Close the idle connections to one backend."""
         backend = self._backends.get(server)
--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -6,7 +6,9 @@
 
 RESERVED_DESCRIPTORS = 24  # standard streams, event loop, listener, discovery, and some to spare
 MANAGEMENT_DESCRIPTORS = 14  # where operators can call: their connections, and their listener
-IDLE_MB = 28  # that the process takes by itself, with some to spare
+IDLE_MB = 28  # that the process takes by itself, with some to spare...
+IDLE_TWO_MB = 44  # ...and that two do, while one takes over from the other
+TIGHT = 0.8  # of the descriptors, from which one that takes over is made room for
 BACKEND_PART = 0.25  # of the descriptors that callers can't take
 
 
@@ -25,8 +27,10 @@
         self.callers = 0
         self.peak = 0
         self.evict_backend: Callable[[], bool] = lambda: False
-        self.evict_caller: Callable[[], object] = lambda: None
+        self.evict_caller: Callable[[], bool] = lambda: False
         self.on_free: list[Callable[[], None]] = []
+        self.others: Callable[[], int] = lambda: 0  # in use by other processes of this proxy
+        self.tell: Callable[[int], None] = lambda used: None  # lets them know
         self._waiting: list[Callable[[], None]] = []
 
     def resize(self, sockets: int) -> None:
@@ -37,10 +41,19 @@
     def _take(self) -> None:
         self.used += 1
         self.peak = max(self.peak, self.used)
+        self.tell(self.used)
+
+    def _full(self) -> bool:
+        return self.used + self.others() >= self.limit
+
+    def tight(self) -> bool:
+        """Whether hardly any is left for the other processes of this proxy."""
+        others = self.others()
+        return others > 0 and self.used + others > TIGHT * self.limit
 
     def take_caller(self) -> bool:
         """Take one for a connection that is about to be accepted."""
-        if self.callers >= self.caller_limit or self.used >= self.limit:
+        if self.callers >= self.caller_limit or self._full():
             # An eviction frees its descriptor when its connection has closed, not at once.
             if self.callers >= self.caller_limit or not self.evict_backend():
                 self.evict_caller()
@@ -51,7 +64,7 @@
 
     def take_backend(self, later: Callable[[], None]) -> bool:
         """Take one for a connection to a backend, or have `later` called when one may be free."""
-        if self.used < self.limit:
+        if not self._full():
             self._take()
             return True
         self._waiting.append(later)
@@ -70,6 +83,7 @@
 
     def _give(self) -> None:
         self.used -= 1
+        self.tell(self.used)
         # All of them: one that has given up meanwhile would swallow the only call.
         waiting, self._waiting = self._waiting, []
         for later in waiting:
@@ -86,23 +100,28 @@
     is turned away; in harm's way are callers with large bodies while others hold all the room.
     """
 
-    def __init__(self, memory_mb: int) -> None:
+    def __init__(self, memory_mb: int, idle_mb: int = IDLE_MB) -> None:
+        self._idle_mb = idle_mb
         self.resize(memory_mb)
         self.used = 0
         self.peak = 0
+        self.others: Callable[[], int] = lambda: 0  # held by other processes of this proxy
+        self.tell: Callable[[int], None] = lambda used: None  # lets them know
 
     def resize(self, memory_mb: int) -> None:
         """Set the limit: a third of what the idle process leaves, as a body is copied once to be sent on."""
-        self.limit = max(2, (memory_mb - IDLE_MB) // 3) * 1024 * 1024
+        self.limit = max(2, (memory_mb - self._idle_mb) // 3) * 1024 * 1024
 
     def take(self, count: int) -> bool:
         """Set bytes aside, if there is room."""
-        if self.used + count > self.limit:
+        if self.used + self.others() + count > self.limit:
             return False
         self.used += count
         self.peak = max(self.peak, self.used)
+        self.tell(self.used)
         return True
 
     def give(self, count: int) -> None:
         """Give them back."""
         self.used -= count
+        self.tell(self.used)
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -555,7 +555,7 @@
         """It only lingers for its last answer to be read."""
         self._fresh[connection] = None
 
-    def _evict(self) -> None:
+    def _evict(self) -> bool:
         """Close what is worth least: those that linger or say nothing, by the handful, before an idle one.
 
         Guards against crowds of callers that say nothing, which would otherwise push out those that are
@@ -567,14 +567,15 @@
         for connection in list(self._fresh):
             evicted += connection.evict(now)
             if evicted >= EVICT_MOST:
-                return
+                return True
         if evicted or len(self._fresh) + len(self._tasks) > self._descriptors.caller_limit // 4:
-            return  # the crowd itself will soon make room
+            return evicted > 0  # the crowd itself will soon make room
         for connection in self._idle:
             if connection.idle:
                 del self._idle[connection]
                 connection.close()
-                return
+                return True
+        return False
 
     def sweep(self) -> None:
         """Apply the time limits."""
--- a/cometusher/config.py
+++ b/cometusher/config.py
@@ -35,6 +35,7 @@
     zones: tuple[str, ...]
     management: Address | None = None  # where operators call
     accept_fd: int | None = None  # the listener that this process was started with
+    shared: str | None = None  # a folder that processes of this proxy share, where one takes over from another
 
 
 def read_address(text: Any, name: str) -> Address:
@@ -117,6 +118,7 @@
         zones=tuple(str(zone) for zone in raw.get("Zones") or ()),
         management=read_address(management, "management") if management else None,
         accept_fd=_descriptor(environ.get("LB_ACCEPT_FD")),
+        shared=(environ.get("TMPDIR") or None) if environ.get("LB_ACCEPT_FD") else None,
     )
 
 
--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -152,6 +152,15 @@
         self.heard = asyncio.Event()  # a first list has come, or the first try at one has failed
         self._task: asyncio.Task[None] | None = None
 
+    @property
+    def seq(self) -> int:
+        """The version of the list that was told last."""
+        return self._seq
+
+    def resume(self, seq: int) -> None:
+        """Go on from a version that another process was told; before the start."""
+        self._seq = seq
+
     def start(self) -> None:
         """Begin to watch, where that costs nobody anything."""
         if self._pushed:
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -16,7 +16,14 @@
 from typing import TYPE_CHECKING
 
 from cometusher.backends import Attempt, Backends
-from cometusher.budget import MANAGEMENT_DESCRIPTORS, RESERVED_DESCRIPTORS, BodyMemory, Descriptors
+from cometusher.budget import (
+    IDLE_MB,
+    IDLE_TWO_MB,
+    MANAGEMENT_DESCRIPTORS,
+    RESERVED_DESCRIPTORS,
+    BodyMemory,
+    Descriptors,
+)
 from cometusher.callers import CallerConnection, Callers
 from cometusher.config import Config
 from cometusher.discovery import Discovery, Entry, read_listing
@@ -52,6 +59,7 @@
 
 if TYPE_CHECKING:
     from cometusher.management import Management
+    from cometusher.succession import Succession
 
 log = logging.getLogger(__name__)
 
@@ -133,10 +141,11 @@
         self.config = config
         self.operations = Operations()
         self._management: Management | None = None
-        self._names: dict[str, ServerId] = {}  # backends as discovery names them
+        self.names: dict[str, ServerId] = {}  # backends as discovery names them
         reserved = RESERVED_DESCRIPTORS + (MANAGEMENT_DESCRIPTORS if config.management else 0)
-        self.descriptors = Descriptors(config.sockets, reserved)
-        self.memory = BodyMemory(config.memory_mb)
+        processes = 2 if config.shared else 1  # that are this proxy while one takes over from the other
+        self.descriptors = Descriptors(config.sockets, processes * reserved)
+        self.memory = BodyMemory(config.memory_mb, IDLE_TWO_MB if config.shared else IDLE_MB)
         self.callers = Callers(loop, self.network, self, self.descriptors, self.memory)
         self.backends = Backends(
             loop, self.network, self, self.descriptors, settings.limits.connect_timeout,
@@ -158,9 +167,22 @@
         known = read_listing({"hosts": []} | config.known, config.zones)
         self.discovery = Discovery(
             config.discovery, config.zones, known.seq, settings.discovery is DiscoveryMode.PUSHED,
-            self._rng, self._listed,
+            self._rng, self.listed,
         )
-        self._listed(ListKind.STALE, known.entries)
+        self.listed(ListKind.STALE, known.entries)
+        self._succession: Succession | None = None
+        if config.shared:
+            self._succeed(config.shared)
+
+    def _succeed(self, folder: str) -> None:
+        from cometusher.succession import Succession
+
+        try:
+            self._succession = Succession(self, folder)
+        except OSError as fault:
+            log.warning("nothing is shared with other processes of this proxy: %s", fault)
+        else:
+            self._succession.take_over()
 
     # ---- life ----------------------------------------------------------------------------
 
@@ -168,7 +190,7 @@
         """Listen on the address of the configuration, and follow discovery."""
         self._manage()
         self.callers.listen(self.network.listen(self.config.listen))
-        self.operations.serving = True
+        self._serves()
         self._follow()
 
     async def start_on(self, listener: socket.socket) -> None:
@@ -183,7 +205,13 @@
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.discovery.heard.wait(), FIRST_LIST)
         self.callers.listen(self.network.adopt(listener))
+        self._serves()
+
+    def _serves(self) -> None:
         self.operations.serving = True
+        self._take_posture()
+        if self._succession is not None:
+            self._succession.serves()
 
     def _manage(self) -> None:
         """Listen where operators call, if they do."""
@@ -222,6 +250,8 @@
         longest = min(max(self._usual), DRAIN_LONGEST)
         if longest:
             self._latest = self.clock.now() + DRAIN_FIRST + longest - DRAIN_SPARE
+        if self._succession is not None:
+            self._succession.stops()
         self.operations.stop(self.loop.time(), DRAIN_FIRST + longest - DRAIN_SERVE)
         emptied: asyncio.Task[None] | None = None
         while emptied is None or not emptied.done():
@@ -243,6 +273,8 @@
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)
         self.backends.sweep()
+        if self._succession is not None:
+            self._succession.look()
         self._take_posture()
         self.callers.sweep()
         if self._management is not None:
@@ -279,11 +311,13 @@
             verdict = self.operations.rejoin()
         else:
             verdict = self._ban(host, call is Call.EXCLUDE)
+        if self._succession is not None and verdict.yes:
+            self._succession.ordered()
         self._take_posture()
         return verdict
 
     def _ban(self, host: str, out: bool) -> Verdict:
-        server = self._names.get(host)
+        server = self.names.get(host)
         if server is None:
             return UNKNOWN
         if out is (server in self.balancer.bans):
@@ -293,7 +327,7 @@
         # It is restarted while it is out: what is open to it now is of no use then.
         self.backends.drop_idle(server)
         if not out and server not in balancer.servers:
-            del self._names[host]  # discovery has dropped it meanwhile
+            del self.names[host]  # discovery has dropped it meanwhile
         return DONE
 
     # ---- dispatch ------------------------------------------------------------------------
@@ -598,21 +632,21 @@
 
     # ---- discovery -----------------------------------------------------------------------
 
-    def _listed(self, kind: ListKind, entries: Sequence[Entry]) -> None:
+    def listed(self, kind: ListKind, entries: Sequence[Entry]) -> None:
         """The list, a change to it, or the news that a call failed."""
         if kind is not ListKind.BROKEN and kind is not ListKind.PATCH:
             for gone in set(self.backends.known()) - {entry.row.server for entry in entries}:
                 self.backends.forget(gone)
             kept = self.balancer.bans
-            self._names = {host: server for host, server in self._names.items() if server in kept}
+            self.names = {host: server for host, server in self.names.items() if server in kept}
         rows = [entry.row for entry in entries]
         for entry in entries:
             row = entry.row
-            self._names[entry.host] = row.server
+            self.names[entry.host] = row.server
             if row.state is State.GONE:
                 self.backends.forget(row.server)
                 if row.server not in self.balancer.bans:
-                    self._names.pop(entry.host, None)
+                    self.names.pop(entry.host, None)
                 continue
             displaced = self.backends.update(row.server, entry.dial, row.started, row.state is State.UP)
             if displaced is not None:
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -598,7 +598,7 @@
                 row = ServerRow(row.server, State.GONE, known.row.zone, known.row.cell, started=row.started)
             known.row = row
         for row in rows:
-            self._recall(now, row.server)
+            self.recall(now, row.server)
         # Guards against growing with every machine that was ever replaced: its id never comes back.
         self.servers = {k: s for k, s in self.servers.items() if s.row.state is not State.GONE or s.out}
         self._arrange(now)
@@ -622,11 +622,11 @@
             lately = now - self.settings.rules.cold_for
             self.returned = {k: span for k, span in self.returned.items() if span[1] >= lately}
             self.returned[server] = (since, now)
-            self._recall(now, server)
+            self.recall(now, server)
             self._arrange(now)
         return []
 
-    def _recall(self, now: float, number: ServerId) -> None:
+    def recall(self, now: float, number: ServerId) -> None:
         """Apply what a past ban says of a server's start."""
         if not self.returned:
             return
