The door opens sooner once nobody waits; cold servers are drawn more when others are slow

Change: K has a part of its slack as long as hardly anybody waits; a cold server's draw rises, up to 1.6 times, with the tier's latency over its usual one; its budget stays.

--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -329,7 +329,7 @@
             else:
                 stuck += 1
     assert stuck >= 6
-    assert b.entry.latency_ratio(8.1) == 0.0
+    assert b.entry.forecast(8.1) == 0.0
 
 
 def _zoned(price: float, servers: int = 12) -> Balancer:
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -61,6 +61,9 @@
 TOLL = 5.0  # a crossing of zones weighs its price x this part of the aim, as latency
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
 
+COLD_CALM = 0.5  # subtracted from the tier's latency over its usual one, it is...
+COLD_EAGER = 1.6  # ...how much more often a cold server is drawn, up to this
+
 LINK_WINDOW = 3.0  # seconds that a zone's ratio looks back
 LOST = (Outcome.UNREACHABLE, Outcome.TIMEOUT, Outcome.BROKEN)
 
@@ -68,6 +71,7 @@
 ENTRY_K = 1.2  # its K: at balance 1 / K of what is let in is in time
 ENTRY_SLACK = 2.0  # added to that K when answers come at once, and less of it...
 ENTRY_FULL = 0.7  # ...until answers take this part of their aim
+ENTRY_EASE = 0.5  # part of the slack that it has when nobody waits
 ENTRY_START = 0.25  # the wait forecast by those waiting, as a part of the aim, from which the entry refuses...
 ENTRY_END = 0.55  # ...and that at which it refuses all
 SORT_EVERY = 0.25  # seconds between orderings of requests by worth
@@ -313,7 +317,13 @@
             self._age(young.popleft())
         aim = classes[request.kind].aim
         self.aim += (aim - self.aim) / 32.0 if self.aim > 0.0 else aim
-        ratio = max(self.breaker.error_ratio(now), self.latency_ratio(now))
+        wait = self.forecast(now)
+        # Guards against a spiral: where calls fail although answers are quick, or nobody waits any more, it is
+        # not for load. Refusing more makes no more of them succeed, and those turned away come again.
+        ease = max(1.0 - self.filled / ENTRY_FULL, ENTRY_EASE - wait / ENTRY_START, 0.0)
+        self.breaker.k = ENTRY_K + ENTRY_SLACK * ease
+        latency_ratio = min(max((wait - ENTRY_START) / (ENTRY_END - ENTRY_START), 0.0), 1.0)
+        ratio = max(self.breaker.error_ratio(now), latency_ratio)
         if ratio > 0.0:
             if now >= self.sort_at:
                 self._sort(now, ratio)
@@ -335,8 +345,8 @@
         self.young.append(request)
         self.waiting += 1
 
-    def latency_ratio(self, now: float) -> float:
-        """The chance for the wait that those waiting forecast, as a part of the aim.
+    def forecast(self, now: float) -> float:
+        """The wait that those waiting forecast for the next, as a part of the aim.
 
         Guards against bursts: late answers are evidence only when the queues are long. Those waiting by the
         pace of answers forecast the wait of the next (Little's law) at once.
@@ -350,8 +360,7 @@
         # Guards against refusing what another proxy's callers bring when it goes: there the pace rises with
         # what is asked, and answers take no longer.
         pace = max(pace, self.recent * max(0.0, 1.0 - (now - self.paced_at) / PACE_RECENT))
-        wait = (self.waiting - PROTECTION) / max(pace, 1e-3) / self.aim
-        return min(max((wait - ENTRY_START) / (ENTRY_END - ENTRY_START), 0.0), 1.0)
+        return max(0.0, self.waiting - PROTECTION) / max(pace, 1e-3) / self.aim
 
     def _settle(self, request: Request) -> bool:
         """Whether this request is still to be counted; it is not again."""
@@ -392,10 +401,7 @@
             self.breaker.failed(now)
             return
         kind = self.settings.classes[request.kind]
-        # Guards against a spiral: where calls fail although answers are quick, it is not for load, and
-        # refusing more makes no more of them succeed.
         self.filled += ((now - request.arrived) / kind.aim - self.filled) / 16.0
-        self.breaker.k = ENTRY_K + ENTRY_SLACK * max(0.0, 1.0 - self.filled / ENTRY_FULL)
         if now - request.arrived <= kind.aim:
             self.breaker.accepted(now)
             self.served[request.slot] += 1.0
@@ -693,6 +699,8 @@
         age = max(0.0, now - server.started)
         part = rules.cold_from + (1.0 - rules.cold_from) * min(1.0, age / max(rules.cold_for, 1e-6))
         draws = min(float(DRAWS), 2.0 / max(circle.warm_part, 0.01))
+        if self.usual > 0.0:  # warm ones that are slower than usual have no room to spare for it
+            draws /= min(max(self.pooled / self.usual - COLD_CALM, 1.0), COLD_EAGER)
         if not server.untried and self.rng.random() >= part / draws:
             return True
         pace = 2.0 * part * self.rate / max(1, len(circle.used))
