--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -365,15 +365,16 @@
 
     def _leave(self) -> None:
         """Nothing more is owed to this caller."""
+        taken, self._taken = self._taken, None
+        self._closing = True
+        self._passing = False
+        if taken is not None:
+            taken.caller_left()  # first: what its body's loss brings about is nobody's answer any more
         self._drop_partial()
         if self._whole is not None:
             self._forget(self._whole)
             self._whole = None
-        taken = self._taken
         self._finish_request()
-        self._closing = True
-        if taken is not None:
-            taken.caller_left()
 
     def close(self) -> None:
         """Close a connection that owes no answer."""
