--- /dev/null
+++ b/tests/loopback/test_upgrade.py
@@ -0,0 +1,300 @@
+"""A new version beside the old one, as processes on one listener: what holds across, whichever of them dies when."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import orjson
+import pytest
+from rig import PATIENCE, SETTINGS, Backend, Caller, Discovery, Seen, Writer, reply
+from test_proxy import run
+
+from cometusher.seam import open_listener
+from standins.messages import read_message
+from standins.ports import free_ports
+
+ROOT = Path(__file__).parent.parent.parent
+
+
+async def name(backend: Backend, seen: Seen, writer: Writer) -> None:
+    writer.write(reply(body=backend.host.encode()))
+
+
+class Platform:
+    """What the platform does: it keeps the listener and the folder, and starts processes beside each other."""
+
+    def __init__(self, folder: Path, backends: list[Backend], discovery: Discovery, sockets: int) -> None:
+        self.folder = folder
+        self.backends = backends
+        self.discovery = discovery
+        self.listener: socket.socket = open_listener(("127.0.0.1", 0))
+        self.port = int(self.listener.getsockname()[1])
+        self.sockets = sockets
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.doors: dict[int, int] = {}  # second addresses, by pid
+        self.count = 0
+
+    async def launch(self, wait: bool = True, **environ: str) -> asyncio.subprocess.Process:
+        """`run`, with a second address of its own; ready when it returns."""
+        door = free_ports(1)[0]
+        config = {
+            "name": "t", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery.port}",
+            "seed": "ab", "limits": {"memory_mb": 80, "sockets": self.sockets}, "management": f"127.0.0.1:{door}",
+            "known": {"seq": 1, "whole": True, "hosts": [backend.entry() for backend in self.backends]},
+            "settings": SETTINGS,
+        }
+        path = self.folder / f"config{len(self.processes)}.json"
+        path.write_bytes(orjson.dumps(config))
+        base = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        shared = {"LB_CONFIG": str(path), "LB_ACCEPT_FD": "3", "TMPDIR": str(self.folder)}
+        command = f"exec {sys.executable} -m cometusher 3<&{self.listener.fileno()}"
+        process = await asyncio.create_subprocess_exec(
+            "/bin/bash", "-c", command, cwd=ROOT, env=base | shared | environ, pass_fds=[self.listener.fileno()],
+            stderr=(self.folder / f"log{len(self.processes)}").open("wb"),
+        )
+        self.processes.append(process)
+        self.doors[process.pid] = door
+        async with asyncio.timeout(PATIENCE):
+            while wait and await self.operate(process, "ready", method="GET") != 200:
+                await asyncio.sleep(0.02)
+        return process
+
+    def log(self, number: int) -> str:
+        return (self.folder / f"log{number}").read_text()
+
+    async def told(self, number: int, text: str, times: int = 1) -> None:
+        """Wait for a line of a process's log."""
+        async with asyncio.timeout(PATIENCE):
+            while self.log(number).count(text) < times:
+                await asyncio.sleep(0.02)
+
+    async def operate(
+        self, process: asyncio.subprocess.Process, call: str, body: bytes = b"", method: str = "POST"
+    ) -> int:
+        """A call at the second address of one process; 0 where nobody listens."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.doors[process.pid])
+        except OSError:
+            return 0
+        writer.write(f"{method} /api/{call} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        try:
+            seen = await asyncio.wait_for(read_message(reader), PATIENCE)
+        finally:
+            writer.close()
+        return int(seen.line.split()[1]) if seen is not None else 0
+
+    async def connect(self) -> Caller:
+        return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def call(self) -> tuple[int, bytes]:
+        self.count += 1
+        rid = f"r{self.count}"
+        caller = await self.connect()
+        status, seen = await caller.call(rid=rid)
+        caller.leave()
+        return status, seen.body
+
+    async def up(self) -> int:
+        caller = await self.connect()
+        caller.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        status, _ = await caller.answer()
+        return status
+
+    async def end(self, process: asyncio.subprocess.Process) -> int:
+        process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(process.wait(), PATIENCE)
+
+
+@contextlib.asynccontextmanager
+async def platform(tmp_path: Path, count: int = 2, sockets: int = 256) -> AsyncIterator[Platform]:
+    backends = [Backend(i + 1, name) for i in range(count)]
+    for backend in backends:
+        await backend.start()
+    discovery = Discovery()
+    await discovery.start()
+    made = Platform(tmp_path, backends, discovery, sockets)
+    try:
+        yield made
+    finally:
+        for process in made.processes:
+            with contextlib.suppress(ProcessLookupError):
+                process.kill()
+            await process.wait()
+        made.listener.close()
+        await discovery.stop()
+        for backend in backends:
+            await backend.stop()
+
+
+def test_upgrades_under_load_turn_nobody_away(tmp_path: Path) -> None:
+    """Callers on kept and on new connections all the while; three upgrades; every request is answered."""
+
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            process = await p.launch()
+            over = False
+            answers: list[int] = []
+
+            async def fresh() -> None:
+                while not over:
+                    answers.append((await p.call())[0])
+
+            async def kept(number: int) -> None:
+                caller, i = await p.connect(), 0
+                while not over:
+                    i += 1
+                    caller.writer.write(
+                        b"GET /api HTTP/1.1\r\nHost: x\r\nX-Call-Class: view\r\nX-Budget: 5000m\r\n"
+                        b"X-Call-Id: k%d-%d\r\n\r\n" % (number, i)
+                    )
+                    status, seen = await caller.answer()
+                    answers.append(status)
+                    if seen.headers.get(b"connection") == b"close":
+                        caller.leave()
+                        caller = await p.connect()
+
+            tasks = [asyncio.create_task(fresh()) for _ in range(3)]
+            tasks += [asyncio.create_task(kept(n)) for n in range(5)]
+            for _ in range(3):
+                after = await p.launch()
+                assert await p.end(process) == 0
+                process = after
+            over = True
+            await asyncio.gather(*tasks)
+            assert set(answers) == {200} and len(answers) > 100
+
+    run(test)
+
+
+def test_bans_drains_and_the_learned_outlive_an_upgrade_and_reach_both(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            old = await p.launch()
+            for _ in range(30):
+                assert (await p.call())[0] == 200
+            assert await p.operate(old, "exclude", b'{"who":"s-1"}') == 200
+            new = await p.launch()
+            assert "took over what was learned of 2 backends" in p.log(1)
+            for _ in range(30):
+                assert await p.call() == (200, b"s-2")
+            # Told to either while both live, it holds for both.
+            assert await p.operate(new, "include", b'{"who":"s-1"}') == 200
+            await p.told(0, "backend 1: no longer banned")
+            assert await p.operate(old, "exclude", b'{"who":"s-2"}') == 200
+            await p.told(1, "backend 2: banned")
+            assert await p.operate(old, "evacuate") == 200
+            await p.told(1, "the proxy is evacuated")
+            assert await p.up() == 503
+            assert await p.operate(new, "ready", method="GET") == 200
+            assert await p.end(old) == 0
+            third = await p.launch()
+            assert await p.up() == 503, "a drain outlives an upgrade"
+            assert await p.operate(third, "rejoin") == 200
+            await p.told(1, "the proxy is back")
+            assert await p.end(new) == 0
+            assert await p.up() == 200
+            for _ in range(10):
+                assert (await p.call())[1] != b"s-2"
+
+    run(test)
+
+
+def test_the_older_takes_up_again_when_the_newer_is_killed(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            await p.launch()
+            new = await p.launch()
+            await p.told(0, "a newer process serves")
+            new.kill()
+            await new.wait()
+            assert (await p.call())[0] == 200
+            await p.told(0, "serving alone again")
+
+    run(test)
+
+
+def test_the_newer_serves_on_when_the_older_is_killed(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            old = await p.launch()
+            assert await p.operate(old, "exclude", b'{"who":"s-1"}') == 200
+            await p.launch()
+            old.kill()
+            await old.wait()
+            for _ in range(10):
+                assert await p.call() == (200, b"s-2")
+
+    run(test)
+
+
+@pytest.mark.parametrize("spoilt", [b"", b"00000000\n{}", b"garbage", b"12345678\n{\"form\":1", b"\xff" * 3000])
+def test_a_torn_state_is_left_aside_with_a_line(tmp_path: Path, spoilt: bytes) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            (tmp_path / "cometusher").mkdir()
+            for file in ("learned", "standing"):
+                (tmp_path / "cometusher" / file).write_bytes(spoilt)
+            (tmp_path / "cometusher" / "ledger").write_bytes(spoilt * 10)
+            await p.launch()
+            assert (await p.call())[0] == 200
+            assert "left aside" in p.log(0) and "Traceback" not in p.log(0)
+
+    run(test)
+
+
+def test_a_folder_that_cannot_be_used_is_a_line_and_no_end(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            (tmp_path / "cometusher").write_bytes(b"in the way")
+            await p.launch()
+            assert (await p.call())[0] == 200
+            assert "nothing is shared" in p.log(0)
+
+    run(test)
+
+
+def test_descriptors_of_both_stay_under_the_limit(tmp_path: Path) -> None:
+    """The older process is full of idle connections when the newer one starts."""
+
+    async def test() -> None:
+        async with platform(tmp_path, sockets=160) as p:
+            old = await p.launch()
+            callers = []
+            for i in range(60):
+                caller = await p.connect()
+                await caller.call(rid=f"idle{i}")
+                callers.append(caller)
+
+            def held() -> int:
+                # The platform's listener and what a process opens anyway count, too.
+                return sum(len(os.listdir(f"/proc/{process.pid}/fd")) for process in p.processes)
+
+            peak = held()
+            await p.launch()
+            for _ in range(40):
+                assert (await p.call())[0] == 200
+                peak = max(peak, held())
+            assert peak <= 160
+            assert await p.end(old) == 0
+            for caller in callers:
+                caller.leave()
+
+    run(test)
+
+
+def test_a_listener_that_is_another_address_is_told(tmp_path: Path) -> None:
+    async def test() -> None:
+        async with platform(tmp_path) as p:
+            p.port = free_ports(1)[0]
+            process = await p.launch(wait=False)
+            assert await asyncio.wait_for(process.wait(), PATIENCE) == 1
+            assert "descriptor 3: listens on" in p.log(0) and "Traceback" not in p.log(0)
+
+    run(test)
