--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -46,6 +46,7 @@
 LATENCY_CAP = 0.3  # ...where it has this value
 
 DRAWS = 8  # random draws for two candidates, at most
+REDRAWS = 2  # further candidates from other zones, for those that their breakers refuse
 RETRY_SHARE = 0.2  # further attempts for each request, on average
 RETRY_BURST = 10.0  # further attempts saved up, at most
 COPY_AFTER = 5.0  # a second copy goes out when the first is out for this multiple of the tier's latency
@@ -860,14 +861,13 @@
     def _pick(
         self, now: float, request: Request, among: list[Server] | None, first: bool
     ) -> Server | None:
-        """Two random ready servers, the better unless its breaker refuses, then the other.
+        """Two random ready servers, the better unless its breaker refuses, then the other or one drawn anew.
 
         Where crossings of zones have a price, both are of the own zone and a third is of the others: it is
         taken when it is better by more than the crossing costs. A zone short of servers spills over.
         """
         rng = self.rng
         timeout = self.settings.classes[request.kind].aim
-        rules = self.settings.rules
         circles: tuple[Circle, ...]
         if among is not None:
             circles = (Circle(among),) * 2
@@ -875,29 +875,13 @@
             circles = (self.near if self.near.used else self.far,) * 2
         else:
             circles = (self.near, self.near, self.far)
-        skipped: Server | None = None
+        skipped: list[Server] = []
         chosen: list[tuple[float, int, Server]] = []
+        tried: list[Server] = [a.server for a in request.attempts]
         for circle in circles:
-            if now >= circle.warm_from:
-                circle.count_warm(now, rules)
-            count = len(circle.used)
-            for _ in range(DRAWS // 2 if count else 0):
-                server = circle.used[int(rng.random() * count)]
-                if any(server is c[2] for c in chosen) or any(a.server is server for a in request.attempts):
-                    continue
-                if server.cold_until(rules) > now and (not first or self._spares_cold(now, server, circle)):
-                    continue
-                link = self.links.get(server.row.zone)
-                if link is not None and link.refuses(now, 0.0, rng):
-                    skipped = server
-                    continue
-                score = server.score(now, self.pooled)
-                if circle is self.far:
-                    score += TOLL * self.settings.prices.cross_zone * timeout
-                chosen.append((score, len(chosen), server))
-                break
-        if not chosen and skipped is not None:
-            chosen.append((0.0, 0, skipped))
+            self._draw(now, circle, first, timeout, tried, chosen, skipped)
+        if not chosen and skipped:
+            chosen.append((0.0, 0, skipped[-1]))
         if self.put_back and first and among is None:
             # Guards against leaving it out for long where calls are few: chance alone may not draw it.
             for number, due in self.put_back.items():
@@ -905,11 +889,45 @@
                 if due <= now and back is not None and self._takes(back):
                     chosen.append((0.0, -1, back))
                     break
-        for _, _, choice in sorted(chosen):
+        redraws = REDRAWS
+        while chosen:
+            best = min(chosen)
+            choice = best[2]
             if not (choice.breaker and choice.breaker.refuses(now, timeout, rng)):
                 return choice
+            chosen.remove(best)
+            if redraws and len(circles) > 2:
+                # Guards against a single choice: what is left of the candidates may be the one that all come back to.
+                redraws -= 1
+                self._draw(now, self.far, first, timeout, tried, chosen, skipped)
         return None
 
+    def _draw(
+        self, now: float, circle: Circle, first: bool, timeout: float, tried: list[Server],
+        chosen: list[tuple[float, int, Server]], skipped: list[Server],
+    ) -> None:
+        """Add one more random ready server of a circle to the candidates, if there is one left."""
+        rng, rules = self.rng, self.settings.rules
+        if now >= circle.warm_from:
+            circle.count_warm(now, rules)
+        count = len(circle.used)
+        for _ in range(DRAWS // 2 if count else 0):
+            server = circle.used[int(rng.random() * count)]
+            if server in tried:
+                continue
+            if server.cold_until(rules) > now and (not first or self._spares_cold(now, server, circle)):
+                continue
+            link = self.links.get(server.row.zone)
+            if link is not None and link.refuses(now, 0.0, rng):
+                skipped.append(server)
+                continue
+            score = server.score(now, self.pooled)
+            if circle is self.far:
+                score += TOLL * self.settings.prices.cross_zone * timeout
+            tried.append(server)
+            chosen.append((score, len(tried), server))
+            return
+
     def _among(self, now: float, request: Request) -> list[Server] | None:
         """Where a further attempt may go by the rules: empty if nowhere, None if anywhere.
 
