A pause is no longer taken for answers that stopped coming

Cause, seen after a drain: with nothing answered for two seconds the door's forecast divided the first callers by no pace at all and turned the next away until answers came. Change: the pace begins anew after a pause with nobody waiting.

--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -506,3 +506,27 @@
     assert server.score(62.0, 0.1) == 2.0, "from its last byte on it counts as any other"
     b.outcome(61.3, "r", 0, Outcome.OK, 0.3, last=True)
     assert server.latency == 0.3
+
+
+def test_a_pause_is_no_sign_of_a_queue() -> None:
+    """After a drain the callers come back at once: nobody has been answered lately, for nobody asked."""
+    settings = Settings(classes=(RequestClass("view", aim=1.0, deadline=9.0, repeat=Repeat.SAFE),))
+    b = Balancer(settings, 1)
+    b.members(0.0, ListKind.WHOLE, [ServerRow(n) for n in (1, 2, 3)])
+    out: list[tuple[float, str]] = []
+    count = refused = 0
+    for begin in (0.0, 20.0):
+        for i in range(200):
+            now = begin + i * 0.05
+            while out and out[0][0] <= now:
+                at, rid = out.pop(0)
+                b.outcome(at, rid, 0, Outcome.OK, 0.4, last=True)
+            count += 1
+            actions = b.request(now, f"r{count}", 0, 0, now + 9.0)
+            refused += any(isinstance(a, Refuse) for a in actions)
+            if any(isinstance(a, Send) for a in actions):
+                out.append((now + 0.4, f"r{count}"))
+        for at, rid in out:
+            b.outcome(at, rid, 0, Outcome.OK, 0.4, last=True)
+        out.clear()
+    assert refused == 0
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -313,8 +313,10 @@
             self.late(now, pending.popleft())
         slot = request.slot
         self.asked[slot] += 1.0
-        if self.since < 0.0:
+        if self.since < 0.0 or (not self.waiting and now - self.paced_at > PACE_MEMORY):
+            # Guards against taking a pause, such as a drain, for answers that stopped coming.
             self.since = now
+            self.pace = self.recent = 0.0
         young = self.young
         while young and (young[0].counted or young[0].horizon <= now):
             self._age(young.popleft())
