--- a/cometusher/management.py
+++ b/cometusher/management.py
@@ -4,8 +4,8 @@
 
 Guards against callers that hold a connection and send no whole call: a connection is read as soon as it is
 accepted, so that a call that has come is answered before others are looked at, and where all places are taken the
-one that has been silent longest gives way. Ought to hold against floods of any kind. Harm: a caller that is slower
-than MOST newer ones is cut off.
+one that has been silent longest gives way. Ought to hold against floods of any kind. Harm: a caller whose call comes
+later than YOUNG after its connection is cut off while MOST others wait.
 """
 
 from __future__ import annotations
@@ -26,6 +26,8 @@
 
 MOST = 12  # connections at once
 EVICT = 4  # that give way at once: they come by the hundred
+YOUNG = 0.02  # seconds in which one that has connected is left alone: its call is on its way
+AGAIN = 0.005  # seconds until there may be a place
 ACCEPTS = 64  # at one wake-up
 CALL_TIME = 5.0  # seconds for a whole call, and for its answer to be taken
 
@@ -133,17 +135,24 @@
         self._connections: dict[Connection, None] = {}  # oldest first
         self._joining = 0  # accepted, and not yet up
         self._tasks: set[asyncio.Task[None]] = set()
-        listener.watch(self._accept)
+        self._closed = False
+        self._watch()
 
     @property
     def port(self) -> int:
         """The port that is listened on."""
         return self._listener.port
 
+    def _watch(self) -> None:
+        if not self._closed:
+            self._listener.watch(self._accept)
+
     def _accept(self) -> None:
         for _ in range(ACCEPTS):
             if len(self._connections) + self._joining >= MOST:
                 self._make_room()
+                self._listener.unwatch()
+                self._loop.call_later(AGAIN, self._watch)
                 return
             try:
                 connection = self._listener.accept()
@@ -166,7 +175,11 @@
 
     def _make_room(self) -> None:
         """End those that have said nothing whole for longest; their places are free when they have closed."""
-        silent = [connection for connection in self._connections if not connection.transport.is_closing()]
+        young = self._loop.time() - YOUNG
+        silent = [
+            connection for connection in self._connections
+            if connection.since <= young and not connection.transport.is_closing()
+        ]
         for connection in silent[:EVICT]:
             connection.transport.abort()
 
@@ -199,6 +212,7 @@
 
     def close(self) -> None:
         """Listen no more, and end what is open."""
+        self._closed = True
         self._listener.unwatch()
         self._listener.close()
         for connection in list(self._connections):
--- /dev/null
+++ b/standins/platform.py
@@ -0,0 +1,122 @@
+"""The platform on a day with upgrades: it keeps the callers' listener, and starts one version beside another."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from standins.caller import Caller
+from standins.messages import PATIENCE, read_message
+from standins.ports import free_ports
+
+
+class Platform:
+    """What the platform does: it keeps the listener and the folder, and starts processes beside each other."""
+
+    def __init__(
+        self, root: Path, folder: Path, settings: dict[str, Any], hosts: list[dict[str, Any]], discovery: int,
+        sockets: int,
+    ) -> None:
+        self.root = root
+        self.folder = folder
+        self.settings = settings
+        self.hosts = hosts
+        self.discovery = discovery
+        self.listener = socket.create_server(("127.0.0.1", 0), backlog=4096)
+        self.port = int(self.listener.getsockname()[1])
+        self.sockets = sockets
+        self.processes: list[asyncio.subprocess.Process] = []
+        self.doors: dict[int, int] = {}  # second addresses, by pid
+        self.count = 0
+
+    async def launch(self, wait: bool = True, **environ: str) -> asyncio.subprocess.Process:
+        """`run`, with a second address of its own; ready when it returns."""
+        door = free_ports(1)[0]
+        config = {
+            "name": "t", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery}",
+            "seed": "ab", "limits": {"memory_mb": 80, "sockets": self.sockets}, "management": f"127.0.0.1:{door}",
+            "known": {"seq": 1, "whole": True, "hosts": self.hosts}, "settings": self.settings,
+        }
+        path = self.folder / f"config{len(self.processes)}.json"
+        path.write_bytes(orjson.dumps(config))
+        base = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
+        shared = {"LB_CONFIG": str(path), "LB_ACCEPT_FD": "3", "TMPDIR": str(self.folder)}
+        command = f"exec {sys.executable} -m cometusher 3<&{self.listener.fileno()}"
+        process = await asyncio.create_subprocess_exec(
+            "/bin/bash", "-c", command, cwd=self.root, env=base | shared | environ, pass_fds=[self.listener.fileno()],
+            stderr=(self.folder / f"log{len(self.processes)}").open("wb"),
+        )
+        self.processes.append(process)
+        self.doors[process.pid] = door
+        async with asyncio.timeout(PATIENCE):
+            while wait and await self.operate(process, "ready", method="GET") != 200:
+                await asyncio.sleep(0.02)
+        return process
+
+    def log(self, number: int) -> str:
+        return (self.folder / f"log{number}").read_text()
+
+    async def told(self, number: int, text: str, times: int = 1) -> None:
+        """Wait for a line of a process's log."""
+        async with asyncio.timeout(PATIENCE):
+            while self.log(number).count(text) < times:
+                await asyncio.sleep(0.02)
+
+    async def operate(
+        self, process: asyncio.subprocess.Process, call: str, body: bytes = b"", method: str = "POST"
+    ) -> int:
+        """A call at the second address of one process; 0 where nobody listens."""
+        try:
+            reader, writer = await asyncio.open_connection("127.0.0.1", self.doors[process.pid])
+        except OSError:
+            return 0
+        writer.write(f"{method} /api/{call} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        try:
+            seen = await asyncio.wait_for(read_message(reader), PATIENCE)
+        finally:
+            writer.close()
+        return int(seen.line.split()[1]) if seen is not None else 0
+
+    async def connect(self) -> Caller:
+        return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
+
+    async def call(self) -> tuple[int, bytes]:
+        self.count += 1
+        rid = f"r{self.count}"
+        caller = await self.connect()
+        status, seen = await caller.call(rid=rid)
+        caller.leave()
+        return status, seen.body
+
+    async def up(self) -> int:
+        caller = await self.connect()
+        caller.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        status, _ = await caller.answer()
+        return status
+
+    async def end(self, process: asyncio.subprocess.Process) -> int:
+        process.send_signal(signal.SIGTERM)
+        return await asyncio.wait_for(process.wait(), PATIENCE)
+
+    def held(self) -> int:
+        """Descriptors of all its processes together, as proc(5) lists them."""
+        held = 0
+        for process in self.processes:
+            if process.returncode is None:
+                held += len(os.listdir(f"/proc/{process.pid}/fd"))
+        return held
+
+    async def close(self) -> None:
+        """End all."""
+        for process in self.processes:
+            if process.returncode is None:
+                process.kill()
+            await process.wait()
+        self.listener.close()
--- a/tests/loopback/test_upgrade.py
+++ b/tests/loopback/test_upgrade.py
@@ -4,20 +4,14 @@
 
 import asyncio
 import contextlib
-import os
-import signal
-import socket
-import sys
 from collections.abc import AsyncIterator
 from pathlib import Path
 
-import orjson
 import pytest
-from rig import PATIENCE, SETTINGS, Backend, Caller, Discovery, Seen, Writer, reply
+from rig import PATIENCE, SETTINGS, Backend, Discovery, Seen, Writer, reply
 from test_proxy import run
 
-from cometusher.seam import open_listener
-from standins.messages import read_message
+from standins.platform import Platform
 from standins.ports import free_ports
 
 ROOT = Path(__file__).parent.parent.parent
@@ -27,91 +21,6 @@
     writer.write(reply(body=backend.host.encode()))
 
 
-class Platform:
-    """What the platform does: it keeps the listener and the folder, and starts processes beside each other."""
-
-    def __init__(self, folder: Path, backends: list[Backend], discovery: Discovery, sockets: int) -> None:
-        self.folder = folder
-        self.backends = backends
-        self.discovery = discovery
-        self.listener: socket.socket = open_listener(("127.0.0.1", 0))
-        self.port = int(self.listener.getsockname()[1])
-        self.sockets = sockets
-        self.processes: list[asyncio.subprocess.Process] = []
-        self.doors: dict[int, int] = {}  # second addresses, by pid
-        self.count = 0
-
-    async def launch(self, wait: bool = True, **environ: str) -> asyncio.subprocess.Process:
-        """`run`, with a second address of its own; ready when it returns."""
-        door = free_ports(1)[0]
-        config = {
-            "name": "t", "listen": f"127.0.0.1:{self.port}", "discovery": f"127.0.0.1:{self.discovery.port}",
-            "seed": "ab", "limits": {"memory_mb": 80, "sockets": self.sockets}, "management": f"127.0.0.1:{door}",
-            "known": {"seq": 1, "whole": True, "hosts": [backend.entry() for backend in self.backends]},
-            "settings": SETTINGS,
-        }
-        path = self.folder / f"config{len(self.processes)}.json"
-        path.write_bytes(orjson.dumps(config))
-        base = {key: value for key, value in os.environ.items() if not key.startswith("LB_")}
-        shared = {"LB_CONFIG": str(path), "LB_ACCEPT_FD": "3", "TMPDIR": str(self.folder)}
-        command = f"exec {sys.executable} -m cometusher 3<&{self.listener.fileno()}"
-        process = await asyncio.create_subprocess_exec(
-            "/bin/bash", "-c", command, cwd=ROOT, env=base | shared | environ, pass_fds=[self.listener.fileno()],
-            stderr=(self.folder / f"log{len(self.processes)}").open("wb"),
-        )
-        self.processes.append(process)
-        self.doors[process.pid] = door
-        async with asyncio.timeout(PATIENCE):
-            while wait and await self.operate(process, "ready", method="GET") != 200:
-                await asyncio.sleep(0.02)
-        return process
-
-    def log(self, number: int) -> str:
-        return (self.folder / f"log{number}").read_text()
-
-    async def told(self, number: int, text: str, times: int = 1) -> None:
-        """Wait for a line of a process's log."""
-        async with asyncio.timeout(PATIENCE):
-            while self.log(number).count(text) < times:
-                await asyncio.sleep(0.02)
-
-    async def operate(
-        self, process: asyncio.subprocess.Process, call: str, body: bytes = b"", method: str = "POST"
-    ) -> int:
-        """A call at the second address of one process; 0 where nobody listens."""
-        try:
-            reader, writer = await asyncio.open_connection("127.0.0.1", self.doors[process.pid])
-        except OSError:
-            return 0
-        writer.write(f"{method} /api/{call} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
-        try:
-            seen = await asyncio.wait_for(read_message(reader), PATIENCE)
-        finally:
-            writer.close()
-        return int(seen.line.split()[1]) if seen is not None else 0
-
-    async def connect(self) -> Caller:
-        return Caller(*await asyncio.open_connection("127.0.0.1", self.port))
-
-    async def call(self) -> tuple[int, bytes]:
-        self.count += 1
-        rid = f"r{self.count}"
-        caller = await self.connect()
-        status, seen = await caller.call(rid=rid)
-        caller.leave()
-        return status, seen.body
-
-    async def up(self) -> int:
-        caller = await self.connect()
-        caller.writer.write(b"GET /up HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        status, _ = await caller.answer()
-        return status
-
-    async def end(self, process: asyncio.subprocess.Process) -> int:
-        process.send_signal(signal.SIGTERM)
-        return await asyncio.wait_for(process.wait(), PATIENCE)
-
-
 @contextlib.asynccontextmanager
 async def platform(tmp_path: Path, count: int = 2, sockets: int = 256) -> AsyncIterator[Platform]:
     backends = [Backend(i + 1, name) for i in range(count)]
@@ -119,15 +28,12 @@
         await backend.start()
     discovery = Discovery()
     await discovery.start()
-    made = Platform(tmp_path, backends, discovery, sockets)
+    hosts = [backend.entry() for backend in backends]
+    made = Platform(ROOT, tmp_path, SETTINGS, hosts, discovery.port, sockets)
     try:
         yield made
     finally:
-        for process in made.processes:
-            with contextlib.suppress(ProcessLookupError):
-                process.kill()
-            await process.wait()
-        made.listener.close()
+        await made.close()
         await discovery.stop()
         for backend in backends:
             await backend.stop()
@@ -272,15 +178,11 @@
                 await caller.call(rid=f"idle{i}")
                 callers.append(caller)
 
-            def held() -> int:
-                # The platform's listener and what a process opens anyway count, too.
-                return sum(len(os.listdir(f"/proc/{process.pid}/fd")) for process in p.processes)
-
-            peak = held()
+            peak = p.held()
             await p.launch()
             for _ in range(40):
                 assert (await p.call())[0] == 200
-                peak = max(peak, held())
+                peak = max(peak, p.held())
             assert peak <= 160
             assert await p.end(old) == 0
             for caller in callers:
