--- a/cometusher/demo.py
+++ b/cometusher/demo.py
@@ -21,11 +21,10 @@
 import orjson
 
 from cometusher.fleet.control import ControlError, NoSupervisor, ask
-from standins.backend import Backend
 from standins.discovery import HostList
 from standins.load import Figures, Kind, Load
+from standins.node import Keys, Node
 from standins.ports import free_ports
-from standins.service import Service
 
 ZONES = ("kigali", "huye")
 TIERS = ("intake", "matching", "archive")
@@ -33,6 +32,7 @@
 TENANTS = ("univ-central", "poly-east", "school-net")
 KINDS = (Kind("report-view", 0.63, 2.0, False), Kind("submit", 0.37, 1.25, True))
 WORK = {"report-view": 0.08, "submit": 0.05}  # seconds of a yardstick core in each tier
+WINDOW = 4.0  # seconds in which the backends of a zone recognise a key
 RATE = 25.0  # requests a second
 EVERY = 2.0  # seconds between lines of figures
 READY = 30.0  # seconds for the proxies to be ready
@@ -45,7 +45,7 @@
     return {
         "Services": [
             {"Name": "report-view", "Aim": 1.5, "HardLimit": 4.0, "Repeat": "retryable", "Credit": 1.0},
-            {"Name": "submit", "Aim": 1.0, "HardLimit": 2.5, "Repeat": "dedup", "Group": "zone", "Window": 4.0,
+            {"Name": "submit", "Aim": 1.0, "HardLimit": 2.5, "Repeat": "dedup", "Group": "zone", "Window": WINDOW,
              "Credit": 8.0},
         ],
         "Orgs": [{"Name": name, "Share": 1.0 / len(TENANTS), "AllowancePerS": 1000.0} for name in TENANTS],
@@ -63,7 +63,7 @@
 
     ports: dict[tuple[int, int], int]  # of the proxies, by tier and zone
     lists: list[HostList]
-    backends: list[Backend]
+    backends: list[Node]
 
     @staticmethod
     async def start(seed: int) -> Installation:
@@ -72,17 +72,20 @@
         keys = [(tier, zone) for tier in range(len(TIERS)) for zone in range(len(ZONES))]
         ports = dict(zip(keys, free_ports(len(keys)), strict=True))
         lists: list[HostList] = []
-        backends: list[Backend] = []
+        backends: list[Node] = []
+        keys_of_zones = {key: Keys(WINDOW) for key in keys}
         for tier in range(len(TIERS)):
             hosts = []
             for zone, site in enumerate(ZONES):
                 for speed in SPEEDS:
                     behind = ("127.0.0.1", ports[tier + 1, zone]) if tier + 1 < len(TIERS) else None
-                    service = Service(speed, WORK, Random(rng.random()), next_tier=behind)
-                    backend = Backend(len(backends) + 1, service.serve)
-                    await backend.start()
+                    backend = Node(
+                        f"s-{len(backends) + 1:x}", site, speed, WORK, keys_of_zones[tier, zone],
+                        Random(rng.random()), behind=behind, impatient=True,
+                    )
+                    await backend.start("127.0.0.1")
                     backends.append(backend)
-                    hosts.append(backend.entry(site=site))
+                    hosts.append(backend.entry())
             hosts_of_tier = HostList(hosts)
             await hosts_of_tier.start()
             lists.append(hosts_of_tier)
@@ -93,7 +96,7 @@
         for hosts in self.lists:
             await hosts.stop()
         for backend in self.backends:
-            await backend.stop()
+            backend.stop()
 
     def write(self, folder: Path) -> Path:
         """The fleet's file, and those that it names; returns the fleet's."""
--- a/cometusher/virtual/hunt.py
+++ b/cometusher/virtual/hunt.py
@@ -9,9 +9,13 @@
 import functools
 import gc
 import multiprocessing
+import os
+import subprocess
+import sys
 import time
 from collections.abc import Callable, Iterable, Iterator, Sequence
 from dataclasses import dataclass, replace
+from pathlib import Path
 from typing import TypeVar
 
 from cometusher.virtual.script import Ask, Fault, Plan, draw
@@ -97,18 +101,19 @@
 
     def shrink(self, plan: Plan) -> Plan:
         """The smallest plan that was found; the same one if nothing can go."""
-        faults = self.without(plan.faults, lambda some: self.fails(replace(plan, faults=some)))
-        plan = replace(plan, faults=faults)
+        plan = self._fewer_faults(plan)
         requests = self.without(plan.requests, lambda some: self.fails(replace(plan, requests=some)))
-        plan = replace(plan, requests=requests)
-        faults = self.without(plan.faults, lambda some: self.fails(replace(plan, faults=some)))
-        plan = replace(plan, faults=faults)
+        plan = self._fewer_faults(replace(plan, requests=requests))
         for changes in self._plainer(plan):
             fresh = replace(plan, **changes)  # type: ignore[arg-type]
             if fresh != plan and self.fails(fresh):
                 plan = fresh
         return plan
 
+    def _fewer_faults(self, plan: Plan) -> Plan:
+        faults = self.without(plan.faults, lambda some: self.fails(replace(plan, faults=some)))
+        return replace(plan, faults=faults)
+
     @staticmethod
     def _plainer(plan: Plan) -> list[dict[str, float]]:
         last = max([ask.at for ask in plan.requests] + [f.at + f.seconds for f in plan.faults] + [0.5])
@@ -123,6 +128,22 @@
     return Shrinker(oracles[0], most=most).shrink(plan), oracles[0]
 
 
+def in_fresh_processes(code: str, folder: Path, hash_seeds: Iterable[int]) -> set[str]:
+    """What some code prints in new processes in a folder, one for each PYTHONHASHSEED; raises CalledProcessError."""
+    command = [sys.executable, "-c", code]
+    running = [
+        subprocess.Popen(
+            command, cwd=folder, env=os.environ | {"PYTHONHASHSEED": str(seed)}, stdout=subprocess.PIPE, text=True
+        )
+        for seed in hash_seeds
+    ]
+    printed = {process.communicate()[0].strip() for process in running}
+    for process in running:
+        if process.returncode != 0:
+            raise subprocess.CalledProcessError(process.returncode, command)
+    return printed
+
+
 class Stopwatch:
     """Real seconds since it was made."""
 
--- a/cometusher/virtual/network.py
+++ b/cometusher/virtual/network.py
@@ -52,8 +52,7 @@
         self.address = address
         self.limit = descriptors
         self.used = 0
-        self.peak = 0
-        self.refused = 0  # descriptors that were not to be had
+        self.on_short: Callable[[], None] = lambda: None  # told when a descriptor is not to be had
         self.coarse = 0.0  # seconds; timers end at multiples of it only
         self.dead = False
         self.stopped = False  # paused, or dead
@@ -111,10 +110,9 @@
     def take(self) -> None:
         """Use a descriptor; raises EMFILE."""
         if self.used >= self.limit:
-            self.refused += 1
+            self.on_short()
             raise _fault(errno.EMFILE)
         self.used += 1
-        self.peak = max(self.peak, self.used)
 
 
 class VirtualTransport(asyncio.Transport):
@@ -315,10 +313,6 @@
                 self.machine.transports.pop(self, None)
             self._send_reset()
 
-    def reset_by_return(self) -> None:
-        """A machine that was silent is back, and knows nothing of this connection."""
-        self._reset_arrives()
-
     def _pump(self) -> None:
         """Give the kernel what it has room for, in segments that the seed cuts."""
         peer = self.peer
@@ -561,7 +555,7 @@
                 del self.lost[transport]
                 for end in (transport, transport.peer):
                     if end is not None:
-                        end.reset_by_return()
+                        end._reset_arrives()
 
     def cut(self, one: str, other: str, whether: bool) -> None:
         """Nothing passes between two machines; what is sent meanwhile arrives when the way is open again."""
--- a/cometusher/virtual/simulate.py
+++ b/cometusher/virtual/simulate.py
@@ -53,7 +53,8 @@
 def _hunt(options: argparse.Namespace) -> int:
     wanted = seeds(options.seeds)
     failed: list[hunt.Finding] = []
-    virtual = requests = done = 0.0
+    virtual = 0.0
+    requests = done = 0
     clock = hunt.Stopwatch()
     for found in hunt.hunt(wanted, options.world, options.jobs):
         done += 1
@@ -65,10 +66,10 @@
             if options.first:
                 break
         if done % EVERY == 0:
-            print(f"{done:.0f} seeds, {len(failed)} failed, {60.0 * done / clock.seconds():.0f} a minute", flush=True)
+            print(f"{done} seeds, {len(failed)} failed, {60.0 * done / clock.seconds():.0f} a minute", flush=True)
     spent = clock.seconds()
     print(
-        f"simulate: seeds={done:.0f} failed={len(failed)} requests={requests:.0f} virtual_s={virtual:.0f} "
+        f"simulate: seeds={done} failed={len(failed)} requests={requests} virtual_s={virtual:.0f} "
         f"real_s={spent:.1f} virtual_over_real={virtual / spent:.0f} seeds_per_minute={60.0 * done / spent:.0f}"
     )
     if failed and not options.keep:
--- a/standins/messages.py
+++ b/standins/messages.py
@@ -20,6 +20,11 @@
     headers: dict[bytes, bytes]
     body: bytes
 
+    @property
+    def status(self) -> int:
+        """Of an answer; raises ValueError or IndexError where the line is none's."""
+        return int(self.line.split()[1])
+
 
 async def read_message(reader: Reader) -> Seen | None:
     """One message with a Content-Length or chunked body; None at a clean end."""
--- a/tests/loopback/test_fleet_lives.py
+++ b/tests/loopback/test_fleet_lives.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import threading
 import time
 from pathlib import Path
 
@@ -199,11 +200,24 @@
 
 
 def test_a_successor_that_comes_at_once_waits_for_the_ports(fleet: FleetRig) -> None:
+    """One instance is held, so that it is still there when the successor looks."""
     fleet.add("a", "b")
     process = fleet.start()
+    held = fleet.pids()["a"]
+    os.kill(held, signal.SIGSTOP)
     process.kill()
     process.wait()
+
+    def let_go() -> None:
+        end = time.monotonic() + 20.0
+        while "of an earlier supervisor are ending" not in fleet.logged() and time.monotonic() < end:
+            time.sleep(0.02)
+        os.kill(held, signal.SIGCONT)
+
+    watcher = threading.Thread(target=let_go)
+    watcher.start()
     fleet.start()
+    watcher.join()
     assert "of an earlier supervisor are ending" in fleet.logged()
 
 
