Operators' calls, upgrades, long messages and stolen ids in virtual worlds; open ids shared

Need: bans, drains by operators, upgrades with state and long or slow messages were not in the simulation, and ids of open requests were known to one process only. Cause: Proxy._read asked only its own table.

Change: the processes of a proxy share the digests of their open ids (weldroute.handover.OpenIds, a file beside the ledger, so that versions before it still read the ledger); a dead process's row counts for nothing. The store, the page and the locks of the handover are handed in, so worlds run the real succession in memory. Faults: ban, evacuate, upgrade (torn state, new or old process dies, two at once), twins; answers and bodies to 900 kB, callers that dawdle.

--- a/cometusher/handover.py
+++ b/cometusher/handover.py
@@ -1,8 +1,10 @@
-"""The files that processes of one proxy share while one takes over from another; why: `docs/design/upgrade.md`.
+"""What processes of one proxy share while one takes over from another; why: `docs/design/upgrade.md`.
 
 `standing` and `learned` hold one JSON object each behind its check sum and are replaced whole. `ledger` is one page
-of shared memory: a row of four numbers for each process, written by its owner alone, who holds the lock on the row's
-byte. What can't be read is logged and left aside; nothing here ends a process.
+of shared memory: a row of four numbers for each process, written by its owner alone, who holds the lock on the row;
+`open` has a row for each of them too: the ids of its open requests.
+What can't be read is logged and left aside; nothing here ends a process. Where all that lies is handed in: a folder,
+or the memory of a virtual world.
 """
 
 from __future__ import annotations
@@ -13,12 +15,13 @@
 import mmap
 import os
 import zlib
+from collections.abc import Hashable, MutableSequence
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol
 
 import orjson
 
-from weldroute.handover import Row, Stage, Unusable, next_generation, yields
+from weldroute.handover import OpenIds, Row, Stage, Unusable, next_generation, yields
 
 log = logging.getLogger(__name__)
 
@@ -26,47 +29,70 @@
 ROWS = 8  # processes at once: more than two only where upgrades follow each other closely
 FIELDS = 4  # generation, stage, descriptors, bytes of bodies
 PAGE = 4096
+Cells = MutableSequence[int] | memoryview  # of 64 bits
 MAX_FILE = 8 * 1024 * 1024
 
 
+class Locks(Protocol):
+    """One lock for each row of the ledger; a dead process holds none."""
+
+    def take(self, row: int) -> bool:
+        """Hold a row's lock, if no other process does."""
+
+    def free(self, row: int) -> None:
+        """Let go of it."""
+
+
+class Store(Protocol):
+    """Named pieces of data, each replaced as a whole."""
+
+    def replace(self, name: str, data: bytes) -> None:
+        """A reader finds the old or the new one. Raises OSError."""
+
+    def read(self, name: str) -> bytes | None:
+        """What is there, MAX_FILE + 1 bytes of it at most; None if nothing. Raises OSError."""
+
+    def mark(self, name: str) -> Hashable | None:
+        """Another value after each replacement; None if nothing is there."""
+
+
 class Ledger:
-    """What the processes of one proxy tell each other at every moment. Raises OSError where it can't be had."""
+    """What the processes of one proxy tell each other at every moment. Raises OSError where no row is free."""
 
-    def __init__(self, folder: Path) -> None:
-        descriptor = os.open(folder / "ledger", os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
-        self._descriptor = descriptor
-        os.ftruncate(descriptor, PAGE)
-        self._page = mmap.mmap(descriptor, PAGE)
-        self._values = memoryview(self._page).cast("q")
+    def __init__(self, values: Cells, ids: Cells, locks: Locks) -> None:
+        self._values = values  # ROWS x FIELDS, shared
+        self._locks = locks
         self._at = -1
         for row in range(ROWS):
-            if self._lock(row):
+            if locks.take(row):
                 self._at = row * FIELDS
                 break
         else:
             raise OSError("the ledger has no free row")
+        self.ids = OpenIds(ids, self._at // FIELDS, self._alive)
         self._clear(self._at // FIELDS)
         self.generation = next_generation(self.others())
         self._values[self._at + 1] = Stage.STARTING
         self._values[self._at] = self.generation
 
-    def _lock(self, row: int) -> bool:
-        try:
-            fcntl.lockf(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, row)
-        except OSError:
-            return False
-        return True
+    def _alive(self, row: int) -> bool:
+        """Whether the process of a row is; a dead one's row is cleared at once."""
+        if not self._locks.take(row):
+            return True
+        self._clear(row)
+        self._locks.free(row)
+        return False
 
     def _clear(self, row: int) -> None:
+        self.ids.clear(row)
         for field in range(FIELDS):
             self._values[row * FIELDS + field] = 0
 
     def bury(self) -> None:
         """Clear the rows of processes that are dead: the kernel has taken back their locks."""
         for row in range(ROWS):
-            if row * FIELDS != self._at and self._values[row * FIELDS] and self._lock(row):
-                self._clear(row)
-                fcntl.lockf(self._descriptor, fcntl.LOCK_UN, 1, row)
+            if row * FIELDS != self._at and self._values[row * FIELDS]:
+                self._alive(row)
 
     def others(self) -> list[Row]:
         """The rows of the others, as far as they make sense."""
@@ -106,33 +132,28 @@
 
 
 class Handover:
-    """The folder of one proxy. Raises OSError where it can't be had."""
+    """What one process shares with the others of its proxy."""
 
-    def __init__(self, parent: str) -> None:
-        self._folder = Path(parent) / FOLDER
-        self._folder.mkdir(mode=0o700, exist_ok=True)
-        self.ledger = Ledger(self._folder)
-        self._seen: tuple[int, int] | None = None  # of the standing orders, when read or written last
+    def __init__(self, store: Store, ledger: Ledger) -> None:
+        self._store = store
+        self.ledger = ledger
+        self._seen: Hashable | None = None  # of the standing orders, when read or written last
 
     def write(self, name: str, form: dict[str, Any]) -> None:
-        """Replace a file as a whole; a reader finds the old or the new one. Raises OSError."""
+        """Replace one of them as a whole. Raises OSError."""
         data = orjson.dumps(form)
-        fresh = self._folder / f"{name}.{self.ledger.generation}"
-        fresh.write_bytes(b"%08x\n" % zlib.crc32(data) + data)
-        fresh.replace(self._folder / name)
+        self._store.replace(name, b"%08x\n" % zlib.crc32(data) + data)
         if name == "standing":
-            self._seen = self._mark()
+            self._seen = self._store.mark(name)
 
     def read(self, name: str) -> Any:
-        """What a file holds; None where there is none or it is torn, which is logged."""
-        path = self._folder / name
+        """What one holds; None where there is none or it is torn, which is logged."""
         try:
-            with path.open("rb") as file:
-                data = file.read(MAX_FILE + 1)
-        except FileNotFoundError:
-            return None
+            data = self._store.read(name)
         except OSError as fault:
-            log.warning("%s: not read: %s", path, fault.strerror)
+            log.warning("%s: not read: %s", name, fault.strerror)
+            return None
+        if data is None:
             return None
         head, _, body = data.partition(b"\n")
         try:
@@ -140,19 +161,79 @@
                 raise Unusable("its check sum does not fit")
             return orjson.loads(body)
         except (Unusable, orjson.JSONDecodeError) as fault:
-            log.warning("%s: left aside: %s", path, fault)
+            log.warning("%s: left aside: %s", name, fault)
             return None
 
-    def _mark(self) -> tuple[int, int] | None:
-        with contextlib.suppress(OSError):
-            found = os.stat(self._folder / "standing")
-            return found.st_mtime_ns, found.st_ino
-        return None
-
     def news(self) -> Any:
         """The standing orders, if another process has written them since the last look; else None."""
-        mark = self._mark()
+        mark = self._store.mark("standing")
         if mark is None or mark == self._seen:
             return None
         self._seen = mark
         return self.read("standing")
+
+
+# ---- in a folder -------------------------------------------------------------------------
+
+
+class FileLocks:
+    """A lock on one byte of a file for each row; the kernel takes back those of the dead."""
+
+    def __init__(self, descriptor: int) -> None:
+        self._descriptor = descriptor
+
+    def take(self, row: int) -> bool:
+        """Hold a row's lock, if no other process does."""
+        try:
+            fcntl.lockf(self._descriptor, fcntl.LOCK_EX | fcntl.LOCK_NB, 1, row)
+        except OSError:
+            return False
+        return True
+
+    def free(self, row: int) -> None:
+        """Let go of it."""
+        fcntl.lockf(self._descriptor, fcntl.LOCK_UN, 1, row)
+
+
+class Folder:
+    """Files of a folder."""
+
+    def __init__(self, path: Path) -> None:
+        self._path = path
+
+    def replace(self, name: str, data: bytes) -> None:
+        """A reader finds the old or the new one. Raises OSError."""
+        fresh = self._path / f"{name}.{os.getpid()}"
+        fresh.write_bytes(data)
+        fresh.replace(self._path / name)
+
+    def read(self, name: str) -> bytes | None:
+        """What is there, if anything. Raises OSError."""
+        try:
+            with (self._path / name).open("rb") as file:
+                return file.read(MAX_FILE + 1)
+        except FileNotFoundError:
+            return None
+
+    def mark(self, name: str) -> Hashable | None:
+        """When it was replaced, and by which file."""
+        with contextlib.suppress(OSError):
+            found = os.stat(self._path / name)
+            return found.st_mtime_ns, found.st_ino
+        return None
+
+
+def in_folder(parent: str) -> Handover:
+    """What processes share in a folder of a folder. Raises OSError where it can't be had."""
+    path = Path(parent) / FOLDER
+    path.mkdir(mode=0o700, exist_ok=True)
+    ledger, values = _shared(path / "ledger", PAGE)
+    _, ids = _shared(path / "open", 8 * ROWS * OpenIds.WIDTH)
+    return Handover(Folder(path), Ledger(values, ids, FileLocks(ledger)))
+
+
+def _shared(path: Path, size: int) -> tuple[int, memoryview]:
+    """A descriptor of a file of so many bytes, and its 64-bit cells in memory. Raises OSError."""
+    descriptor = os.open(path, os.O_RDWR | os.O_CREAT | os.O_CLOEXEC, 0o600)
+    os.ftruncate(descriptor, size)
+    return descriptor, memoryview(mmap.mmap(descriptor, size)).cast("q")
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -92,8 +92,8 @@
     """A request that was taken: one final answer is owed, and its attempts end here."""
 
     __slots__ = (
-        "answered", "attempts", "budget", "call_id", "caller", "deadline", "headers", "open", "passing", "proxy",
-        "repeatable", "request", "rid", "timer", "why",
+        "answered", "attempts", "budget", "call_id", "caller", "deadline", "headers", "open", "passing", "place",
+        "proxy", "repeatable", "request", "rid", "timer", "why",
     )
 
     def __init__(
@@ -111,6 +111,7 @@
         self.repeatable = False  # the class is harmless to repeat
         self.attempts: list[Attempt] = []
         self.open = 0
+        self.place = 0  # where other processes of this proxy see that its id is open
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
         self.why = ""  # how the last attempt ended
@@ -178,7 +179,7 @@
         from cometusher.succession import Succession
 
         try:
-            self._succession = Succession(self, folder)
+            self._succession = Succession(self, self.network.share(folder))
         except OSError as fault:
             log.warning("nothing is shared with other processes of this proxy: %s", fault)
         else:
@@ -403,6 +404,8 @@
         exchange.repeatable = self.config.settings.classes[kind].repeat is Repeat.SAFE
         self._exchanges[exchange.rid] = exchange
         self._open_ids.add(exchange.call_id)
+        if self._succession is not None:
+            exchange.place = self._succession.ids.open(call_id)
         self._give_until(exchange, now, deadline)
         if stream is not None:
             stream.on_spent = exchange.body_spent
@@ -434,7 +437,7 @@
         call_id = request.header(b"x-call-id")
         if not call_id:
             raise Malformed(400, "no X-Call-Id")
-        if call_id in self._open_ids:
+        if call_id in self._open_ids or (self._succession is not None and self._succession.ids.elsewhere(call_id)):
             raise Malformed(409, "X-Call-Id of an open request")
         name = request.header(b"x-call-class")
         kind = self._kinds.get(name or b"")
@@ -495,6 +498,8 @@
             self._stop_timer(exchange)
             if self._exchanges.pop(exchange.rid, None) is not None:
                 self._open_ids.discard(exchange.call_id)
+                if self._succession is not None:
+                    self._succession.ids.close(exchange.place)
             # An exchange and its attempts name each other: freed at once, they need no collector.
             exchange.attempts.clear()
 
--- a/cometusher/seam.py
+++ b/cometusher/seam.py
@@ -12,10 +12,13 @@
 import socket
 import time
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
 
 from cometusher.config import Address
 
+if TYPE_CHECKING:
+    from cometusher.handover import Handover
+
 BACKLOG = 4096
 
 
@@ -60,6 +63,9 @@
     def pending(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """Tells, whenever asked, whether a connection has something to read, or its end, that was not read yet."""
 
+    def share(self, folder: str) -> Handover:
+        """What processes of one proxy share; raises OSError."""
+
 
 class SocketListener:
     """A listening socket."""
@@ -119,6 +125,12 @@
         poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
         return lambda: bool(poller.poll(0))
 
+    def share(self, folder: str) -> Handover:
+        """What processes of one proxy share in a folder; raises OSError."""
+        from cometusher.handover import in_folder
+
+        return in_folder(folder)
+
 
 def inherited_listener(descriptor: int, address: Address) -> socket.socket:
     """A listening socket that this process was started with; raises OSError if it is not that of the address."""
--- a/cometusher/succession.py
+++ b/cometusher/succession.py
@@ -10,7 +10,6 @@
 from typing import TYPE_CHECKING, Any
 
 from cometusher.discovery import Unreadable, read_listing
-from cometusher.handover import Handover
 from weldroute import ListKind, State
 from weldroute.handover import (
     Stage,
@@ -23,6 +22,7 @@
 )
 
 if TYPE_CHECKING:
+    from cometusher.handover import Handover
     from cometusher.proxy import Proxy
 
 log = logging.getLogger(__name__)
@@ -33,15 +33,16 @@
 
 
 class Succession:
-    """This process among those of its proxy. Raises OSError where the folder can't be used."""
+    """This process among those of its proxy."""
 
-    def __init__(self, proxy: Proxy, folder: str) -> None:
+    def __init__(self, proxy: Proxy, files: Handover) -> None:
         self._proxy = proxy
-        self._files = Handover(folder)
+        self._files = files
         self._version = 0  # of the standing orders
         self._save_at = 0.0
         self._yields = False
         ledger = self._files.ledger
+        self.ids = ledger.ids
         ledger.bury()
         proxy.descriptors.others, proxy.descriptors.tell = ledger.descriptors, ledger.tell_descriptors
         proxy.memory.others, proxy.memory.tell = ledger.bodies, ledger.tell_bodies
--- a/cometusher/virtual/network.py
+++ b/cometusher/virtual/network.py
@@ -13,17 +13,20 @@
 import functools
 import os
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass, field
 from typing import Any
 
 from cometusher.config import Address
+from cometusher.handover import FIELDS, ROWS, Handover, Ledger
 from cometusher.seam import Listener
 from cometusher.virtual.loop import MACHINE, VirtualLoop
+from weldroute.handover import OpenIds
 
 WINDOW = 64 * 1024  # bytes under way and unread in one direction
 HIGH, LOW = 64 * 1024, 16 * 1024  # asyncio's own marks for its write buffer
 BACKLOG = 128
+AGAIN = 0.0005  # seconds until those who watch a shared listener on which something waits are told again
 SYN_RETRIES = (1.0, 2.0, 4.0, 8.0, 16.0)  # seconds between tries to connect (RFC 6298, 2)
 
 
@@ -91,8 +94,11 @@
         """The process dies: its connections are reset, and what comes to its address is refused."""
         self.dead = self.stopped = True
         self._held.clear()
-        for listener in [one for one in self.network.listeners.values() if one.machine is self]:
-            listener.close()
+        for listener in list(self.network.listeners.values()):
+            if listener.machine is self:
+                listener.close()
+            for holder in [one for one in listener.holders if one.machine is self]:
+                holder.close()
         for transport in list(self.transports):
             transport.die()
         self.network.loop.bury(list(self.tasks))
@@ -313,6 +319,12 @@
                 self.machine.transports.pop(self, None)
             self._send_reset()
 
+    def belongs(self, machine: Machine) -> None:
+        """A process has accepted it, on a listener that several hold."""
+        self.machine = machine
+        self._context = machine.context()
+        machine.transports[self] = None
+
     def _pump(self) -> None:
         """Give the kernel what it has room for, in segments that the seed cuts."""
         peer = self.peer
@@ -430,6 +442,7 @@
     backlog: int = BACKLOG
     factory: Callable[[], asyncio.BaseProtocol] | None = None
     queue: deque[VirtualTransport] = field(default_factory=deque)
+    holders: dict[SharedListener, tuple[Callable[[], None], contextvars.Context]] = field(default_factory=dict)
     _waits: Callable[[], None] | None = None
     _context: contextvars.Context | None = None
     _due: bool = False
@@ -465,6 +478,9 @@
         """Level-triggered, as readiness is: told again as long as something waits."""
         if self.factory is not None:
             self._accept_all()
+        elif self.holders and self.queue and not self._due:
+            self._due = True
+            self.network.loop.call_soon(self._ready_all, context=self.network.nowhere)
         elif self._waits is not None and self.queue and not self._due:
             self._due = True
             self.network.loop.call_soon(self._ready, context=self._context)
@@ -475,6 +491,22 @@
             self._waits()
             self.tell()
 
+    def _ready_all(self) -> None:
+        """Every process that watches wakes up; the first that runs accepts (no EPOLLEXCLUSIVE)."""
+        self._due = False
+        for holder, (waits, context) in list(self.holders.items()):
+            if not holder.due:
+                holder.due = True
+                self.network.loop.call_soon(self._wake, holder, waits, context=context)
+        if self.queue and self.holders:
+            self._due = True
+            self.network.loop.call_later(AGAIN, self._ready_all, context=self.network.nowhere)
+
+    def _wake(self, holder: SharedListener, waits: Callable[[], None]) -> None:
+        holder.due = False
+        if holder in self.holders and self.queue:
+            waits()
+
     def _accept_all(self) -> None:
         while self.queue and self.factory is not None:
             try:
@@ -504,16 +536,57 @@
             self.machine.take()
         return self.queue.popleft()
 
+    def refuse(self) -> None:
+        """Nothing new comes; what waits can still be accepted."""
+        if self._open:
+            self._open = False
+            del self.network.listeners[self.address]
+
     def close(self) -> None:
         """Listen no more; what waits is reset."""
         if self._open:
-            self._open = False
+            self.refuse()
             self._waits = None
-            del self.network.listeners[self.address]
             while self.queue:
                 self.queue.popleft().die()
 
 
+@dataclass(eq=False)
+class SharedListener:
+    """One process's copy of a listener that the platform holds: whoever is first accepts."""
+
+    source: VirtualListener
+    machine: Machine
+    due: bool = False  # its process is about to look
+
+    @property
+    def port(self) -> int:
+        """The port."""
+        return self.source.port
+
+    def watch(self, waits: Callable[[], None]) -> None:
+        """Call `waits` whenever a connection waits, until `unwatch`."""
+        self.source.holders[self] = (waits, contextvars.copy_context())
+        self.source.tell()
+
+    def unwatch(self) -> None:
+        """Leave connections waiting."""
+        self.source.holders.pop(self, None)
+
+    def accept(self) -> VirtualTransport:
+        """A connection; raises BlockingIOError where none waits, and EMFILE."""
+        if not self.source.queue:
+            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
+        self.machine.take()
+        transport = self.source.queue.popleft()
+        transport.belongs(self.machine)
+        return transport
+
+    def close(self) -> None:
+        """Close this copy only: what waits stays for the others."""
+        self.unwatch()
+
+
 class VirtualNetwork:
     """All machines and listeners of a world."""
 
@@ -628,11 +701,62 @@
         raise TimeoutError(errno.ETIMEDOUT, os.strerror(errno.ETIMEDOUT))
 
 
+class Memory:
+    """What processes of one proxy share, in memory: named data, the ledger's page, and its locks."""
+
+    def __init__(self) -> None:
+        self.data: dict[str, bytes] = {}
+        self._marks: dict[str, int] = {}
+        self.page = [0] * (ROWS * FIELDS)
+        self.ids = [0] * (ROWS * OpenIds.WIDTH)
+        self.holders: dict[int, Machine] = {}  # of the locks
+
+    def replace(self, name: str, data: bytes) -> None:
+        """A reader finds the old or the new one."""
+        self.data[name] = data
+        self._marks[name] = self._marks.get(name, 0) + 1
+
+    def read(self, name: str) -> bytes | None:
+        """What is there, if anything."""
+        return self.data.get(name)
+
+    def mark(self, name: str) -> Hashable | None:
+        """Another value after each replacement."""
+        return self._marks.get(name)
+
+    def tear(self, name: str) -> None:
+        """Half of what is there is lost, as by a write that was cut off."""
+        data = self.data.get(name)
+        if data is not None:
+            self.replace(name, data[: len(data) // 2])
+
+
+class MemoryLocks:
+    """One process's view of the locks; the dead hold none."""
+
+    def __init__(self, memory: Memory, machine: Machine) -> None:
+        self._holders = memory.holders
+        self._machine = machine
+
+    def take(self, row: int) -> bool:
+        """Hold a row's lock, if no other process does."""
+        holder = self._holders.get(row)
+        if holder is not None and holder is not self._machine and not holder.dead:
+            return False
+        self._holders[row] = self._machine
+        return True
+
+    def free(self, row: int) -> None:
+        """Let go of it."""
+        self._holders.pop(row, None)
+
+
 class VirtualSurroundings:
     """What `cometusher.seam.Network` asks for, out of a virtual network; one for each proxy."""
 
-    def __init__(self, network: VirtualNetwork, epoch: float = 1.6e9) -> None:
+    def __init__(self, network: VirtualNetwork, epoch: float = 1.6e9, memory: Memory | None = None) -> None:
         self._network = network
+        self._memory = memory
         self.epoch = epoch  # Unix time at the world's beginning; a change of it is a step of the wall clock
 
     def unix_time(self) -> float:
@@ -650,7 +774,9 @@
     def adopt(self, listener: Any) -> Listener:
         """A listener that somebody else has opened."""
         assert isinstance(listener, VirtualListener)
-        return listener
+        machine = MACHINE.get()
+        assert machine is not None
+        return SharedListener(listener, machine)
 
     async def attach(self, connection: Any, protocol: Callable[[], asyncio.Protocol]) -> None:
         """Give an accepted connection to its protocol."""
@@ -660,3 +786,10 @@
         """Tells whether something has come that was not read."""
         assert isinstance(transport, VirtualTransport)
         return lambda: transport.pending
+
+    def share(self, folder: str) -> Handover:
+        """What processes of one proxy share; raises OSError."""
+        machine = MACHINE.get()
+        if self._memory is None or machine is None:
+            raise _fault(errno.ENOENT)
+        return Handover(self._memory, Ledger(self._memory.page, self._memory.ids, MemoryLocks(self._memory, machine)))
--- a/cometusher/virtual/script.py
+++ b/cometusher/virtual/script.py
@@ -6,7 +6,7 @@
     world zone seed 17 seconds 6.0
     shape zones 2 tiers 1 proxies 1 backends 2
     link latency 0.002 jitter 0.5 bandwidth 10000000 cut 0.5 lazy 0.001
-    limits sockets 192 copies 1 cancel 1
+    limits sockets 192 copies 1 cancel 1 shared 0
     request 1 at 0.412 view zone 0 budget 1.5 want 200
     fault at 2.150 kill proxy/0 for 1.3
     fault at 2.150 slow backend/1 for 2 by 8
@@ -40,6 +40,7 @@
     body: int = 0
     leaves: float = 0.0
     slow: float = 0.0
+    dawdle: float = 0.0  # seconds in which its caller reads nothing more of a long answer
     again: int = 1  # times that a refused one is tried again
 
 
@@ -72,6 +73,7 @@
     sockets: int = 96
     copies: int = 1  # whether a second copy may go out...
     cancel: int = 1  # ...and an attempt be given up early
+    shared: int = 0  # whether listeners are the platform's, and processes of one proxy share a folder
     lazy: float = 0.0  # seconds that a program may take to see what has come
     requests: tuple[Ask, ...] = ()
     faults: tuple[Fault, ...] = ()
@@ -98,14 +100,25 @@
     "garble": (("discovery",), None),
     "reload": (("proxy",), None),  # SIGHUP, with discovery somewhere else
     "drain": (("proxy",), None),  # SIGTERM, and started again `for` seconds after its end
+    "ban": (("proxy",), lambda rng: float(rng.randrange(8))),  # of the by-th backend, by its operators, for `for`
+    "evacuate": (("proxy",), None),  # by its operators, who have it rejoin after `for`
+    "upgrade": (("proxy",), lambda rng: float(rng.choice((0, 0, 0, 1, 2, 3, 4)))),  # see UPGRADES
     "famine": (("proxy",), lambda rng: float(rng.randint(4, 40))),  # descriptors left
     "coarse": (("proxy",), lambda rng: round(rng.uniform(0.005, 0.05), 3)),
     "step": (("proxy",), lambda rng: round(rng.uniform(-3600.0, 3600.0), 1)),  # of the wall clock
     "crowd": (("proxy",), lambda rng: float(rng.randint(10, 120))),  # connections that say nothing
     "halves": (("proxy",), lambda rng: float(rng.randint(5, 60))),  # connections with half a request
+    "twins": (("proxy",), lambda rng: float(rng.randint(1, 8))),  # strangers use the ids of so many open requests
     "burst": (("proxy",), lambda rng: float(rng.randint(20, 60))),  # requests at once, told by their own lines
 }
-INSTANT = ("reload", "step", "burst")
+INSTANT = ("reload", "step", "burst", "upgrade", "twins")
+LONG = (100_000, 300_000, 900_000)  # bytes of messages that go on while they come...
+LONG_FROM = 64 * 1024  # ...which those above this do...
+LONG_SHARE = 0.04  # ...and how many are
+#: What goes wrong with an upgrade, by its number.
+UPGRADES = (
+    "nothing", "what was learned is torn", "the new process dies", "the old process dies", "a second one follows",
+)
 
 
 def shape(world: str, rng: Random) -> dict[str, Any]:
@@ -141,11 +154,14 @@
         cancel=int(rng.random() < 0.8), lazy=rng.choice((0.0, 0.001, 0.004)),
         **shape(name, rng),
     )
+    plan = replace(plan, shared=int(rng.random() < 0.3))
     plan = replace(plan, faults=tuple(sorted(_faults(rng, plan), key=lambda fault: fault.at)))
     if any(fault.what == "double" for fault in plan.faults):
         # A cut just between an answer and its copy lets the copy come after the next request was written: HTTP/1.1
         # has nothing by which a proxy could tell it from that one's answer.
         plan = replace(plan, cut=0.0)
+    if any(fault.what == "upgrade" for fault in plan.faults):
+        plan = replace(plan, shared=1)
     return replace(plan, requests=tuple(_asks(rng, plan)))
 
 
@@ -178,12 +194,20 @@
 
 def _ask(rng: Random, number: int, at: float, plan: Plan) -> Ask:
     kind = rng.choices(KINDS, (6, 3, 2))[0]
-    return Ask(
+    ask = Ask(
         number, round(at, 4), kind, rng.randrange(plan.zones), round(rng.choice((0.3, 1.0, 1.5)), 1),
         want=rng.choice((0, 0, 200, 4000, 60000)), body=0 if kind == "view" else rng.choice((0, 5, 3000, 60000)),
         leaves=round(rng.uniform(0.0, 0.4), 3) if rng.random() < 0.05 else 0.0,
         slow=round(rng.uniform(0.05, 1.2), 3) if rng.random() < 0.03 else 0.0,
     )
+    # A line made narrow would take longer for these than there is time; theirs counts from the last byte.
+    if plan.bandwidth >= 1e7 and rng.random() < LONG_SHARE and not any(f.what == "narrow" for f in plan.faults):
+        ask = replace(ask, want=rng.choice((200, *LONG)))
+        if ask.want > LONG_FROM:
+            ask = replace(ask, dawdle=round(rng.choice((0.0, rng.uniform(0.1, 1.0))), 3))
+        if kind != "view":
+            ask = replace(ask, body=rng.choice(LONG))
+    return ask
 
 
 # ---- the text ------------------------------------------------------------------------------
@@ -191,9 +215,10 @@
 _HEADS: dict[str, tuple[str, ...]] = {
     "world": ("seed", "seconds"), "shape": ("zones", "tiers", "proxies", "backends"),
     "link": ("latency", "jitter", "bandwidth", "cut", "lazy"),
-    "limits": ("sockets", "copies", "cancel"),
+    "limits": ("sockets", "copies", "cancel", "shared"),
 }
-_ASK = {"zone": int, "budget": float, "want": int, "body": int, "leaves": float, "slow": float, "again": int}
+_ASK = {"zone": int, "budget": float, "want": int, "body": int, "leaves": float, "slow": float, "dawdle": float,
+        "again": int}
 _FAULT = {"for": ("seconds", float), "by": ("by", float)}
 _DEFAULT = Ask(0, 0.0, "view")
 
--- a/standins/courier.py
+++ b/standins/courier.py
@@ -34,11 +34,15 @@
     address: Address
     pieces: list[bytes]
     pause: float = 0.0
+    dawdle: float = 0.0  # seconds in which no more is read, once the head of the answer has come
+    coming: Callable[[], None] = lambda: None  # its first bytes are about to be written
+    begun: Callable[[], None] = lambda: None  # the head has come
     written: Callable[[], None] = lambda: None  # its last byte is; once more where it has to be sent again
     done: Callable[[End, Seen | None], None] = lambda end, answer: None
     line: Line | None = None
     tries: int = 0
     over: bool = False
+    heard: bool = False  # the head of its answer has come
     _next: int = 0
     _timer: asyncio.TimerHandle | None = field(default=None, repr=False)
 
@@ -78,6 +82,8 @@
         parcel = self.parcel
         if parcel is None or self.transport is None:
             return
+        if not parcel._next:
+            parcel.coming()
         self.transport.write(parcel.pieces[parcel._next])
         parcel._next += 1
         if parcel._next < len(parcel.pieces):
@@ -100,9 +106,11 @@
             self._courier.surplus(self.address, bytes(self._buffer))
             self.leave()
             return
+        parcel = self.parcel
         if answer is None:
+            if parcel is not None and not parcel.heard and b"\r\n\r\n" in self._buffer:
+                self._begin(parcel)
             return
-        parcel = self.parcel
         if parcel is None or self._buffer:
             self._courier.surplus(self.address, bytes(self._buffer) or answer.line)
             self.leave()
@@ -114,6 +122,17 @@
             self._courier.park(self)
         parcel.finish(End.ANSWERED, answer)
 
+    def _begin(self, parcel: Parcel) -> None:
+        parcel.heard = True
+        parcel.begun()
+        if parcel.dawdle and self.transport is not None:
+            self.transport.pause_reading()
+            self._courier.loop.call_later(parcel.dawdle, self._read_on, context=self._courier.context)
+
+    def _read_on(self) -> None:
+        if self.transport is not None and not self.transport.is_closing():
+            self.transport.resume_reading()
+
     def connection_lost(self, exc: Exception | None) -> None:
         self._courier.unpark(self)
         parcel, self.parcel = self.parcel, None
--- a/weldroute/handover.py
+++ b/weldroute/handover.py
@@ -9,13 +9,15 @@
 A value that can't be read makes the whole form `Unusable`: nothing of it is taken, and the start goes on without.
 Further subsystems add a key to a form; a reader ignores keys that it does not know.
 
-Who serves is decided here too: each process has a `Row`, and yields to a newer one that serves.
+Who serves is decided here too: each process has a `Row`, and yields to a newer one that serves. And `OpenIds` holds
+which requests are open in any of them.
 """
 
 from __future__ import annotations
 
+import hashlib
 from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping, MutableSequence
 from dataclasses import dataclass
 from enum import IntEnum
 from itertools import pairwise
@@ -67,6 +69,71 @@
     return 1 + max((row.generation for row in rows), default=0)
 
 
+class OpenIds:
+    """The ids of requests that are open in any process of a proxy.
+
+    Guards against an id that is open in one process and comes again in another: it would be a second copy of an
+    unsafe request. Each process writes a row of its own: how many places are in use at most, and a digest for each
+    open request, 0 where a place is free. Harm: past PLACES open requests the further ones are not seen by others.
+    """
+
+    PLACES = 1023  # for each process
+    WIDTH = PLACES + 1
+
+    def __init__(
+        self, values: MutableSequence[int] | memoryview[int], row: int, alive: Callable[[int], bool]
+    ) -> None:
+        self._values = values  # WIDTH for each row
+        self._at = row * self.WIDTH
+        self._alive = alive  # whether the process of a row is; asked only where a row seems to hold an id
+        self._free: list[int] = []
+        self._high = 0
+        self.clear(row)
+
+    @staticmethod
+    def digest(name: bytes) -> int:
+        """64 bits that nobody can aim at another's id; never 0."""
+        return int.from_bytes(hashlib.blake2b(name, digest_size=8).digest(), "big", signed=True) or 1
+
+    def clear(self, row: int) -> None:
+        """Forget a row: its process is dead, or begins."""
+        at = row * self.WIDTH
+        for place in range(at, at + self._values[at] + 1):
+            self._values[place] = 0
+
+    def open(self, name: bytes) -> int:
+        """A request with this id is open from here on; returns its place, or 0 where there is none."""
+        if self._free:
+            place = self._free.pop()
+        elif self._high < self.PLACES:
+            self._high += 1
+            place = self._high
+        else:
+            return 0
+        self._values[self._at + place] = self.digest(name)
+        self._values[self._at] = self._high
+        return place
+
+    def close(self, place: int) -> None:
+        """The request at a place is over."""
+        if place:
+            self._values[self._at + place] = 0
+            self._free.append(place)
+
+    def elsewhere(self, name: bytes) -> bool:
+        """Whether another process that is alive has an open request with this id."""
+        values = self._values
+        digest = 0
+        for at in range(0, len(values), self.WIDTH):
+            high = values[at]
+            if at == self._at or not 0 < high <= self.PLACES:
+                continue
+            digest = digest or self.digest(name)
+            if digest in list(values[at + 1 : at + 1 + high]) and self._alive(at // self.WIDTH):
+                return True
+        return False
+
+
 # ---- reading -----------------------------------------------------------------------------
 
 
