Orders hold in every process from the yes on; a proxy's containers are walked when all is quiet

Now a cell of the shared page counts orders, read before every event.

Change: oracles for what is sent on (time, key), for descriptors of both processes together, for the front being told yes while evacuated; bans count from when the yes is written; every container found by walking a proxy's objects is empty or within a stated bound.

Ruled out: os.stat of the orders' file for each request (a system call where a memory read does).

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -25,7 +25,7 @@
 
 @dataclass(frozen=True)
 class Mutant:
-    """One defect: `old` becomes `new` in a module of `cometusher`."""
+    """One defect: `old` becomes `new` in a module of `cometusher`, or of the package before its slash."""
 
     name: str
     module: str
@@ -96,6 +96,28 @@
            "if self._request is not None or self._whole is not None:", "if False:"),
     Mutant("the end of a watch ends discovery", "discovery",
            "backoff = min(2.0 * backoff, BACKOFF_TO)", "return"),
+    # Of calls, upgrades and long messages; planted before the oracles that look for them were written.
+    Mutant("a ban does not reach an attempt that connects", "proxy",
+           "return not exchange.answered and attempt.server not in self.balancer.bans",
+           "return not exchange.answered"),
+    Mutant("a ban is not handed over", "succession",
+           "for server in apply_standing(proxy.balancer, proxy.clock.now(), standing):", "for server in ():"),
+    Mutant("an evacuation is not handed over", "succession",
+           "proxy.operations.evacuate(proxy.loop.time())", "pass"),
+    Mutant("an id stays taken for good", "proxy", "self._open_ids.discard(exchange.call_id)", "pass"),
+    Mutant("the module keeps requests whose attempts end late", "weldroute/decide",
+           "if request.done:\n            if not request.open:\n                self.requests.pop(rid, None)",
+           "if request.done:\n            pass"),
+    Mutant("the module is not told that a body is spent", "proxy", "self.balancer.spent(exchange.rid)", "pass"),
+    Mutant("a caller that was held is not read again", "stream",
+           "if self._held and self._waiting <= WAITING // 2:", "if False:"),
+    Mutant("the other process's descriptors don't count", "budget",
+           "return self.used + self.others() >= self.limit", "return self.used >= self.limit"),
+    Mutant("an attempt is told of the whole time", "proxy", "format_budget(left))]",
+           "format_budget(exchange.budget))]"),
+    Mutant("a repeat has lost its key", "proxy", 'headers = [*exchange.headers, (b"x-budget"',
+           'headers = [*(h for h in exchange.headers if not attempt.number or h[0] != b"idempotency-key"), '
+           '(b"x-budget"'),
 )
 QUICK = ("reset is reported", "second answer", "counts as up", "descriptor is not given", "was cut counts")
 
@@ -103,7 +125,8 @@
     """A copy of the code with one defect; raises ValueError where the code has moved on."""
     for package in PACKAGES:
         shutil.copytree(ROOT / package, folder / package, ignore=shutil.ignore_patterns("__pycache__"))
-    path = folder / "cometusher" / f"{mutant.module}.py"
+    package, _, module = mutant.module.rpartition("/")
+    path = folder / (package or "cometusher") / f"{module}.py"
     text = path.read_text()
     if text.count(mutant.old) != 1:
         raise ValueError(f"{mutant.name}: {mutant.old!r} is {text.count(mutant.old)} times in {mutant.module}")
--- a/cometusher/handover.py
+++ b/cometusher/handover.py
@@ -27,6 +27,7 @@
 
 FOLDER = "cometusher"
 ROWS = 8  # processes at once: more than two only where upgrades follow each other closely
+ORDERS = 32  # the cell behind the rows: grows with every order of operators
 FIELDS = 4  # generation, stage, descriptors, bytes of bodies
 PAGE = 4096
 Cells = MutableSequence[int] | memoryview  # of 64 bits
@@ -112,6 +113,14 @@
         """Say how far this process is."""
         self._values[self._at + 1] = stage
 
+    def orders(self) -> int:
+        """Another number after each order that any process was given."""
+        return self._values[ORDERS]
+
+    def ordered(self) -> None:
+        """An order was given, and is written."""
+        self._values[ORDERS] += 1
+
     def descriptors(self) -> int:
         """In use by the others."""
         values, at = self._values, self._at
--- a/cometusher/management.py
+++ b/cometusher/management.py
@@ -27,7 +27,8 @@
 MOST = 12  # connections at once
 EVICT = 4  # that give way at once: they come by the hundred
 YOUNG = 0.02  # seconds in which one that has connected is left alone: its call is on its way
-AGAIN = 0.005  # seconds until there may be a place
+AGAIN = 0.005  # seconds until there may be a place...
+SHORT = 0.05  # ...and until there may be a descriptor, where the system has none left
 ACCEPTS = 64  # at one wake-up
 CALL_TIME = 5.0  # seconds for a whole call, and for its answer to be taken
 
@@ -156,8 +157,14 @@
                 return
             try:
                 connection = self._listener.accept()
-            except OSError:
-                return  # none waits; or no descriptor, and then the next wake-up tries again
+            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
+                return
+            except OSError as fault:
+                # Guards against spinning on a listener that stays readable: EMFILE, ENFILE, ENOMEM.
+                log.warning("a call's connection is not accepted: %s", fault)
+                self._listener.unwatch()
+                self._loop.call_later(SHORT, self._watch)
+                return
             self._joining += 1
             task = self._loop.create_task(self._adopt(connection))
             self._tasks.add(task)
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -141,6 +141,7 @@
         self.clock = Clock(self.network)
         self.config = config
         self.operations = Operations()
+        self._succession: Succession | None = None
         self.management: Management | None = None
         self.names: dict[str, ServerId] = {}  # backends as discovery names them
         reserved = RESERVED_DESCRIPTORS + (MANAGEMENT_DESCRIPTORS if config.management else 0)
@@ -171,7 +172,6 @@
             self._rng, self.listed,
         )
         self.listed(ListKind.STALE, known.entries)
-        self._succession: Succession | None = None
         if config.shared:
             self._succeed(config.shared)
 
@@ -210,7 +210,7 @@
 
     def _serves(self) -> None:
         self.operations.serving = True
-        self._take_posture()
+        self.take_posture()
         if self._succession is not None:
             self._succession.serves()
 
@@ -256,7 +256,7 @@
         self.operations.stop(self.loop.time(), DRAIN_FIRST + longest - DRAIN_SERVE)
         emptied: asyncio.Task[None] | None = None
         while emptied is None or not emptied.done():
-            self._take_posture()
+            self.take_posture()
             if emptied is None and not self.callers.posture.listens:
                 self.callers.hang_up()
                 emptied = self.loop.create_task(self.callers.emptied())
@@ -268,7 +268,8 @@
             self.management.close()
         await self.discovery.stop()
 
-    def _take_posture(self) -> None:
+    def take_posture(self) -> None:
+        """Do towards callers as the operations say."""
         self.callers.take(self.operations.posture(self.loop.time()))
 
     def _sweep(self) -> None:
@@ -276,7 +277,7 @@
         self.backends.sweep()
         if self._succession is not None:
             self._succession.look()
-        self._take_posture()
+        self.take_posture()
         self.callers.sweep()
         if self.management is not None:
             self.management.sweep()
@@ -314,7 +315,7 @@
             verdict = self._ban(host, call is Call.EXCLUDE)
         if self._succession is not None and verdict.yes:
             self._succession.ordered()
-        self._take_posture()
+        self.take_posture()
         return verdict
 
     def _ban(self, host: str, out: bool) -> Verdict:
@@ -335,6 +336,8 @@
 
     def _dispatch(self, exchange: Exchange | None, event: Callable[[float], list[Action]]) -> None:
         """One event into the module, and its actions in their order."""
+        if self._succession is not None:
+            self._succession.heed()
         try:
             actions = event(self.clock.now())
         except Exception:
@@ -377,6 +380,8 @@
 
     def take(self, caller: CallerConnection, request: Request) -> Exchange | None:
         """A whole request has come."""
+        if self._succession is not None:
+            self._succession.heed()
         if request.target == READY_PATH and request.method == b"GET":
             caller.answer(200 if self.callers.posture.up else 503, list(self.mark), b"")
             return None
--- a/cometusher/succession.py
+++ b/cometusher/succession.py
@@ -41,6 +41,7 @@
         self._version = 0  # of the standing orders
         self._save_at = 0.0
         self._yields = False
+        self._heeded = 0  # orders
         ledger = self._files.ledger
         self.ids = ledger.ids
         ledger.bury()
@@ -109,11 +110,26 @@
             tuple((server, since, back) for server, (since, back) in balancer.returned.items()),
         )
         self._write("standing", standing.write())
+        self._files.ledger.ordered()
 
     def serves(self) -> None:
         """This process serves from here on."""
+        self.heed()
         self._files.ledger.stage(Stage.SERVING)
 
+    def heed(self) -> None:
+        """Follow what operators have ordered of another process; called before every event.
+
+        Guards the yes that they had: it holds for all processes from that moment, not from their next look.
+        """
+        orders = self._files.ledger.orders()
+        if orders != self._heeded:
+            self._heeded = orders
+            news = self._files.news()
+            if news is not None:
+                self._take_orders(news)
+                self._proxy.take_posture()
+
     def stops(self) -> None:
         """It has been told to end."""
         self.look()
--- a/cometusher/virtual/network.py
+++ b/cometusher/virtual/network.py
@@ -18,7 +18,7 @@
 from typing import Any
 
 from cometusher.config import Address
-from cometusher.handover import FIELDS, ROWS, Handover, Ledger
+from cometusher.handover import ORDERS, ROWS, Handover, Ledger
 from cometusher.seam import Listener
 from cometusher.virtual.loop import MACHINE, VirtualLoop
 from weldroute.handover import OpenIds
@@ -707,7 +707,7 @@
     def __init__(self) -> None:
         self.data: dict[str, bytes] = {}
         self._marks: dict[str, int] = {}
-        self.page = [0] * (ROWS * FIELDS)
+        self.page = [0] * (ORDERS + 1)
         self.ids = [0] * (ROWS * OpenIds.WIDTH)
         self.holders: dict[int, Machine] = {}  # of the locks
 
--- a/cometusher/virtual/oracles.py
+++ b/cometusher/virtual/oracles.py
@@ -18,6 +18,7 @@
 
 SLACK = 0.05  # seconds by which each time limit is longer over a network than in the rules
 AHEAD = 0.1  # seconds between looks at a request whose proxy is held up
+BUSY = 0.2  # seconds that a request may wait in its connection
 JUST = 1.0  # seconds after a hold in which what had come meanwhile may still be at work
 LONG = LONG_FROM  # bytes; longer answers go on while they come...
 STALL = 13.0  # ...and what stopped coming is cut by then
@@ -58,6 +59,8 @@
     due: float
     body: int  # bytes
     want: int  # bytes of its answer
+    budget: float = 0.0  # seconds; 0 until its last byte is written
+    key: bytes = b""
     attempts: list[Attempt] = field(default_factory=list)
     runs: int = 0
     over: str = ""  # how it ended...
@@ -157,7 +160,8 @@
     # ---- callers -------------------------------------------------------------------------
 
     def sent(
-        self, now: float, rid: str, kind: str, proxy: str, caller: str, budget: float, body: int = 0, want: int = 0
+        self, now: float, rid: str, kind: str, proxy: str, caller: str, budget: float, body: int = 0, want: int = 0,
+        key: bytes = b"",
     ) -> None:
         """A request's last byte was written."""
         due = now + budget + self._rules.answer_slack + SLACK + self._path + self._pace * (body + want)
@@ -166,7 +170,7 @@
             row = self._come(now, rid, kind, proxy, caller, body, want)
         elif row.due < math.inf:
             raise ValueError(f"{rid} is sent twice by its caller")
-        row.sent, row.due = now, due
+        row.sent, row.due, row.budget, row.key = now, due, budget, key
         for attempt in row.attempts:
             attempt.at = now  # a node begins with the last byte
         heapq.heappush(self._due, (due, rid))
@@ -288,12 +292,12 @@
 
     def wrote(
         self, now: float, proxy: str, rid: str, node: str, out: Callable[[], bool] = lambda: False,
-        whole: Callable[[], bool] = lambda: True,
+        whole: Callable[[], bool] = lambda: True, said: dict[bytes, bytes] | None = None,
     ) -> None:
         """A proxy began to write a request to a node.
 
         `out` tells whether it still waits for that, `whole` whether it has written the last byte: a node begins
-        with that one, so what is not whole never ran.
+        with that one, so what is not whole never ran. `said` are the headers.
         """
         self.note(now, "wrote", rid, proxy, node)
         row = self._rows.get(rid)
@@ -304,6 +308,8 @@
             return  # the id was free again
         if row.over and (row.over != "left" or self._knew(row, now)):
             self.violate(now, "nothing after", f"{rid} was sent to {node} after its end ({row.over})")
+        if said is not None:
+            self._passes_on(now, rid, row, node, said)
         self._again(now, rid, row, node)
         if not self._copies and any(earlier.out() for earlier in row.attempts):
             self.violate(now, "copies", f"{rid} was sent to {node} while it was out already")
@@ -323,6 +329,25 @@
         while recent[0][0] < now - self._rules.fall_after:
             recent.popleft()
 
+    def _passes_on(self, now: float, rid: str, row: Row, node: str, said: dict[bytes, bytes]) -> None:
+        """What is sent on never says more than there is: the time that is left, and the caller's own key."""
+        text = said.get(b"x-budget", b"")
+        try:
+            told = float(text[:-1]) / {b"m": 1e3, b"u": 1e6}[text[-1:]]
+        except (ValueError, KeyError):
+            self.violate(now, "right request", f"{rid} was sent to {node} with the time {text!r}")
+            return
+        if row.budget:
+            # Its time counts from when its proxy reads it: late where that has much to do, or has had no descriptor.
+            spare = self._path + BUSY + self.slack.get(row.proxy, 0.0)
+            spare += self.held_for(row.proxy, row.sent - 2.0 * JUST, now)
+            left = row.budget - max(0.0, now - row.sent - spare)
+            if told > left + 0.001:
+                self.violate(now, "right request", f"{rid} was sent to {node} with {told:.3f} s of {left:.3f}")
+        key = said.get(b"idempotency-key")
+        if (key is not None) is not (row.kind.repeat is Repeat.KEYED) or (row.key and key != row.key):
+            self.violate(now, "right request", f"{rid} was sent to {node} with the key {key!r}")
+
     def _knew(self, row: Row, now: float) -> bool:
         """Whether its proxy must know by now that its caller has left."""
         known = row.ended + self._path + SLACK + self.slack.get(row.proxy, 0.0)
@@ -430,6 +455,15 @@
             if first < now <= first + window:
                 self.violate(now, "no effect twice", f"{rid} took effect a second time, at {node}")
 
+    def together(self, now: float, proxy: str, used: int, most: int) -> None:
+        """The descriptors that connections of all processes of a proxy take."""
+        if used > most:
+            self.violate(now, "descriptors", f"the processes of {proxy} have {used} where {most} are for both")
+
+    def says_yes(self, now: float, proxy: str) -> None:
+        """The front was told yes while operators have the proxy evacuated."""
+        self.violate(now, "drains", f"{proxy} says yes to the front while it is evacuated")
+
     def fell(self, now: float, node: str, sent: float, carries: float) -> None:
         """A cold node was sent more than it bears."""
         recent = self._recent.get(node, deque())
--- a/cometusher/virtual/script.py
+++ b/cometusher/virtual/script.py
@@ -177,6 +177,23 @@
             at = found[-1].at  # two at one tick
         seconds = 0.0 if what in INSTANT else round(rng.choice((0.05, 0.3, 1.0, 3.0)) * rng.uniform(0.5, 1.5), 3)
         found.append(Fault(at, what, f"{whom}/{rng.randrange(many[whom])}", seconds, amount(rng) if amount else 0.0))
+    for fault in list(found):
+        found += _company(rng, fault)
+    return found
+
+
+def _company(rng: Random, fault: Fault) -> list[Fault]:
+    """What is drawn beside some faults, since they are worst together."""
+    found = []
+    before = max(0.1, round(fault.at - 0.4, 3))
+    if fault.what == "upgrade":
+        if rng.random() < 0.5:
+            what = rng.choice(("ban", "evacuate"))
+            found.append(Fault(before, what, fault.whom, 1.5, float(rng.randrange(8)) if what == "ban" else 0.0))
+        if rng.random() < 0.3:
+            found += [Fault(at, "crowd", fault.whom, 1.5, 120.0) for at in (before, round(fault.at + 0.1, 3))]
+    elif fault.what == "ban" and rng.random() < 0.5:
+        found.append(Fault(max(0.1, round(fault.at - 0.003, 3)), "burst", fault.whom, 0.0, 40.0))
     return found
 
 
--- /dev/null
+++ b/cometusher/virtual/walk.py
@@ -0,0 +1,79 @@
+"""What hangs on a proxy, found by walking its objects: when all is quiet, each container is empty or within a bound.
+
+A container that is new in the code is found without being told of, and has to be empty until a bound is stated here.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterator
+from typing import Any
+
+CONTAINERS = (dict, list, set, deque, bytearray)
+OURS = ("cometusher.", "weldroute.")
+NOT_OURS = ("cometusher.virtual.",)
+
+#: What may be there in silence: so many, and so many more for each backend of the list.
+STATED: dict[str, tuple[int, int]] = {
+    "Backends._backends": (0, 1), "Backends._owners": (0, 1), "Backends._crossings": (3, 0),
+    "Balancer.cells": (0, 1), "Balancer.cells[]": (0, 1), "Balancer.links": (0, 1), "Balancer.ready": (0, 1),
+    "Balancer.returned": (0, 1), "Balancer.servers": (0, 1), "Balancer.zones": (0, 1), "Balancer.zones[]": (0, 1),
+    "Breaker._ring": (40, 0), "Breaker._ring[]": (4, 0), "Circle.ready": (0, 1), "Circle.used": (0, 1),
+    "Descriptors.on_free": (1, 0), "Proxy._kinds": (3, 0), "Proxy._tenants": (2, 0), "Proxy._usual": (3, 0),
+    "Balancer.put_back": (0, 1), "Proxy.names": (0, 1), "Proxy.tallies": (16, 0), "Proxy._reported": (16, 0),
+    "Entry.asked": (12, 0), "Entry.chance": (12, 0), "Entry.served": (12, 0), "Entry.quota": (2, 0),
+    "Entry.quota_at": (2, 0),
+    "Entry.pending": (64, 0), "Entry.young": (64, 0), "Request.attempts": (3, 0),  # until the next request comes
+    "Ledger._values": (33, 0), "OpenIds._values": (8192, 0), "OpenIds._free": (1023, 0),
+}
+
+
+def excess(root: object, nodes: int) -> dict[str, tuple[int, int]]:
+    """What holds more than is stated, where discovery lists so many backends: how many, and the bound."""
+    found = {}
+    for name, count in containers(root).items():
+        fixed, each = STATED.get(name, (0, 0))
+        if count > fixed + each * nodes:
+            found[name] = (count, fixed + each * nodes)
+    return found
+
+
+def _parts(thing: object) -> Iterator[tuple[str, Any]]:
+    """The attributes of an object, slots and all."""
+    yield from getattr(thing, "__dict__", {}).items()
+    for kind in type(thing).__mro__:
+        slots = kind.__dict__.get("__slots__", ())
+        for name in (slots,) if isinstance(slots, str) else slots:
+            if hasattr(thing, name):
+                yield name, getattr(thing, name)
+
+
+def _ours(thing: object) -> bool:
+    module = type(thing).__module__
+    return module.startswith(OURS) and not module.startswith(NOT_OURS)
+
+
+def containers(root: object) -> dict[str, int]:
+    """The most that any container of each name holds: `Class.attribute`, and `[]` behind it for one within it."""
+    found: dict[str, int] = {}
+    seen: set[int] = {id(root)}
+    waiting: list[tuple[str, object]] = [(type(root).__name__, root)]
+    while waiting:
+        name, thing = waiting.pop()
+        if isinstance(thing, CONTAINERS):
+            found[name] = max(found.get(name, 0), len(thing))
+            inner: list[tuple[str, object]] = []
+            if not isinstance(thing, bytearray):
+                inner = [(f"{name}[]", item) for item in (thing.values() if isinstance(thing, dict) else thing)]
+                inner += [(f"{name}[]", item) for item in (thing if isinstance(thing, dict) else ())]
+        elif isinstance(thing, tuple):
+            inner = [(name, item) for item in thing]
+        elif _ours(thing):
+            inner = [(f"{type(thing).__name__}.{part}", value) for part, value in _parts(thing)]
+        else:
+            continue
+        for part, value in inner:
+            if id(value) not in seen:
+                seen.add(id(value))
+                waiting.append((part, value))
+    return found
--- a/cometusher/virtual/world.py
+++ b/cometusher/virtual/world.py
@@ -27,6 +27,7 @@
 from cometusher.virtual.network import Link, Machine, Memory, VirtualNetwork, VirtualSurroundings, VirtualTransport
 from cometusher.virtual.oracles import LONG, Ledger, Violation
 from cometusher.virtual.script import UPGRADES, Ask, Fault, Plan
+from cometusher.virtual.walk import excess
 from standins.courier import Address, Courier, End, Parcel
 from standins.discovery import HostList, Watch
 from standins.messages import Seen
@@ -37,6 +38,8 @@
 PORT = 9000
 CALLS = 9001  # where operators call: the first of the ports that the processes of one proxy take in turn
 CALL_PORTS = 8
+UP_EVERY = 0.3  # seconds between questions of the front to an evacuated proxy
+BASE = 24  # descriptors of a process that are not connections: none of those are here
 ASK_READY = 0.05  # seconds between questions whether a new process is ready
 STARTS = 4.0  # seconds within which one must be
 COLD, COLD_FROM, FALL, SPAN = 6.0, 0.1, 2.0, 1.0
@@ -56,6 +59,7 @@
 TIMERS = 4  # of a proxy at rest: the sweep, the watch, the module's...
 SPARE_TIMERS = 8  # ...and beside three for each request at work: what ends at this moment
 Heal = Callable[[], object]  # what ends a fault
+KEY = re.compile(rb"\r\nidempotency-key: ([^\r\n]+)", re.IGNORECASE)
 SEND = re.compile(rb"\r\nx-call-id: ([^\r\n]+)", re.IGNORECASE)
 
 
@@ -111,6 +115,8 @@
     life: int = 0
     count: int = 0  # of processes
     upgrades: int = 0  # under way
+    evacuated: bool = False  # by operators, who have their yes, and have asked for nothing else since
+    orders: int = 0  # that were taken back
     banned: set[str] = field(default_factory=set)  # backends that operators have out, or want out
 
     @property
@@ -240,6 +246,7 @@
         self._healed = 0
         self._carries: dict[VirtualTransport, tuple[str, str, int]] = {}  # whose, what, and what was told before
         self._views: dict[str, tuple[Door, Parcel, bytes]] = {}  # requests that are harmless to copy
+        self._asked: dict[Parcel, str] = {}  # calls for bans that wait for their answer
         self._look_at = 0.0
         self.look_every = LOOK_EVERY
 
@@ -302,6 +309,7 @@
         door.life += 1
         door.upgrades = 0
         door.banned.clear()
+        door.evacuated = False
         self.ledger.started_anew(door.name)
         door.others.clear()
         door.memory = Memory()
@@ -433,6 +441,9 @@
 
     def _tap(self, door: Door, transport: VirtualTransport, data: bytes) -> None:
         """All that a proxy writes passes here; what goes to a node begins an attempt."""
+        if CALLS <= transport.get_extra_info("sockname")[1] < CALLS + CALL_PORTS:
+            self._call_answered(door, transport, data)
+            return
         stand = self._by_address.get(transport.get_extra_info("peername")[0])
         if stand is None or transport.get_extra_info("sockname")[1] == PORT:
             return
@@ -443,12 +454,26 @@
                 text = f"{door.name} wrote {rid} to a connection on which something else had come"
                 self.ledger.violate(self.loop.time(), "right answer", text)
             self._carries[transport] = (door.name, rid, told)
+            rows = [row.partition(b":") for row in data[: data.find(b"\r\n\r\n")].split(b"\r\n")[1:]]
             last = transport.written + data.find(b"\r\n\r\n") + 4 + self.ledger.body_of(rid)
             self.ledger.wrote(
                 self.loop.time(), door.name, rid, stand.host,
                 lambda: transport.told == told and not transport.over, lambda: transport.written >= last,
+                {name.strip().lower(): value.strip() for name, _, value in rows},
             )
 
+    def _call_answered(self, door: Door, transport: VirtualTransport, data: bytes) -> None:
+        """A yes holds from the moment that it is given, whenever it is heard."""
+        peer = transport.get_extra_info("peername")
+        for parcel, host in list(self._asked.items()):
+            there = parcel.line.transport if parcel.line is not None else None
+            if there is not None and there.get_extra_info("sockname") == peer:
+                del self._asked[parcel]
+                if data.startswith(b"HTTP/1.1 200"):
+                    self.ledger.banned(self.loop.time(), door.name, host)
+            elif parcel.over:
+                del self._asked[parcel]
+
     def _rid(self, seen: Seen) -> str:
         return seen.headers.get(b"x-call-id", b"-").decode()
 
@@ -488,13 +513,15 @@
         ledger, loop = self.ledger, self.loop
 
         message = b"".join(parcel.pieces)
+        found = KEY.search(message)
+        key = found[1] if found is not None else b""
         body = len(message) - message.find(b"\r\n\r\n") - 4
 
         def written() -> None:
             if parcel.tries:
                 ledger.resent(loop.time(), rid)
             else:
-                ledger.sent(loop.time(), rid, kind, door.name, caller, budget, body, want)
+                ledger.sent(loop.time(), rid, kind, door.name, caller, budget, body, want, key)
 
         def ended(end: End, answer: Seen | None) -> None:
             now = loop.time()
@@ -740,7 +767,7 @@
     def _operate(
         self, door: Door, process: Process, call: str, done: Callable[[int], None], body: bytes = b"",
         method: str = "POST",
-    ) -> None:
+    ) -> Parcel:
         """A call to one process of a proxy; `done` is told its status, or 0 where no answer came."""
         lines = f"{method} /api/{call} HTTP/1.1\r\nHost: p\r\nContent-Length: {len(body)}\r\n\r\n".encode()
 
@@ -749,12 +776,13 @@
             self.ledger.note(self.loop.time(), "call", door.name, call, body.decode(), status)
             done(status)
 
-        courier = self.couriers[door.zone]
-        self.loop.call_soon(
-            courier.send, Parcel(process.calls, [lines + body], done=ended), context=self.clients[door.zone].context()
-        )
+        parcel = Parcel(process.calls, [lines + body], done=ended)
+        self.loop.call_soon(self.couriers[door.zone].send, parcel, context=self.clients[door.zone].context())
+        return parcel
 
-    def _order(self, door: Door, call: str, opposite: str, body: bytes, yes: Heal, no: Heal) -> Heal:
+    def _order(
+        self, door: Door, call: str, opposite: str, body: bytes, yes: Heal, no: Heal, host: str = ""
+    ) -> Heal:
         """An order, and at its end the opposite one: after the answer to the first, and until there is a yes."""
         life = door.life
         state = {"answered": False, "over": False}
@@ -771,6 +799,7 @@
                 self.loop.call_later(0.1, revoke)  # the process that was asked is ending, or has gone
 
         def revoke() -> None:
+            door.orders += 1
             no()
             if door.life == life and door.up and door.process is not None:
                 self._operate(door, door.process, opposite, revoked, body)
@@ -781,7 +810,9 @@
                 revoke()
 
         assert door.process is not None
-        self._operate(door, door.process, call, ordered, body)
+        parcel = self._operate(door, door.process, call, ordered, body)
+        if host:
+            self._asked[parcel] = host
         return end
 
     def _ban(self, door: Door, host: str) -> Heal | None:
@@ -796,8 +827,7 @@
 
         return self._order(
             door, "exclude", "include", b'{"who":"%s"}' % host.encode(),
-            lambda: self.ledger.banned(self.loop.time(), door.name, host),
-            no,
+            lambda: None, no, host,
         )
 
     def _evacuate(self, door: Door) -> Heal:
@@ -810,14 +840,32 @@
 
         def yes() -> None:
             door.open_until = max(door.open_until, self.loop.time() + FRONT_LAG)
+            door.evacuated = True
             self.loop.call_later(FRONT_LAG, stop, context=contextvars.Context())
+            self._see_it_out(door, life)
 
         def no() -> None:
+            door.evacuated = False
             if door.owner is None and door.life == life:
                 self.loop.call_later(2.0 * FRONT_LAG, self._ask_up, door, life)
 
         return self._order(door, "evacuate", "rejoin", b"", yes, no)
 
+    def _see_it_out(self, door: Door, life: int) -> None:
+        """While it is evacuated, whichever process answers says no to the front."""
+        if door.life != life or not door.up or not door.evacuated or door.draining:
+            return
+        orders = door.orders
+
+        def done(end: End, answer: Seen | None) -> None:
+            if answer is not None and answer.status == 200 and door.life == life and door.orders == orders:
+                self.ledger.says_yes(self.loop.time(), door.name)
+
+        lines = b"GET /up HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n"
+        parcel = Parcel(door.address, [lines], done=done)
+        self.loop.call_soon(self.couriers[door.zone].connect, parcel, context=self.clients[door.zone].context())
+        self.loop.call_later(UP_EVERY, self._see_it_out, door, life)
+
     # ---- upgrades ------------------------------------------------------------------------
 
     def _upgrade(self, door: Door, how: int) -> None:
@@ -1085,6 +1133,10 @@
         work = self.ledger.open_at(door.name)
         if timers > TIMERS + SPARE_TIMERS + 3 * work and not self.ledger.held_up(now, door.name):
             self.ledger.violate(now, "bounded", f"{door.name} has {timers} timers for {work} requests")
+        machines = [one.machine for one in (door.process, *door.others) if one is not None and not one.machine.dead]
+        if len(machines) > 1 and not door.starved:
+            most = door.config.sockets - BASE * len(machines)
+            self.ledger.together(now, door.name, sum(machine.used for machine in machines), most)
         held = sum(map(VirtualTransport.get_write_buffer_size, door.machine.transports))
         if held > HELD:
             self.ledger.violate(now, "bounded", f"{door.name} holds {held} bytes that nobody takes")
@@ -1192,6 +1244,9 @@
             if len(door.machine.tasks) > 1:
                 names = sorted(getattr(t.get_coro(), "__qualname__", "?") for t in door.machine.tasks)
                 self.ledger.violate(now, "nothing left", f"{door.name} has tasks: {', '.join(names)}")
+            nodes = sum(stand.tier == door.tier for stand in self.stands)
+            for name, (count, bound) in excess(door.proxy, nodes).items():
+                self.ledger.violate(now, "nothing left", f"{door.name} has {count} in {name}, where {bound} may be")
             if door.proxy.memory.used:
                 self.ledger.violate(now, "nothing left", f"{door.name} counts {door.proxy.memory.used} bytes")
             if door.proxy.descriptors.used != door.machine.used - 1:
