--- a/cometusher/virtual/loop.py
+++ b/cometusher/virtual/loop.py
@@ -28,6 +28,7 @@
 #: The machine that the running code belongs to; tasks and callbacks inherit it with their context.
 MACHINE: contextvars.ContextVar[Machine | None] = contextvars.ContextVar("machine", default=None)
 STUCK = 4.0  # seconds of processor time after which one callback counts as one that never yields
+STILL = 100_000  # callbacks at one moment, after which time stands still for good
 
 
 class Deadlock(Exception):
@@ -60,6 +61,7 @@
         self._stopping = False
         self._tasks: set[asyncio.Task[Any]] = set()
         self._seen_step = -1
+        self._still_from = 0  # the step at which time moved last
         self._stuck: Stuck | None = None
         self.after_step: Callable[[], None] | None = None  # called after every callback
         self.graveyard: list[asyncio.Task[Any]] = []  # of processes that died; kept, or their ends would run
@@ -116,7 +118,8 @@
         if not self._ready:
             if not self._timers:
                 raise Deadlock("nothing is ready and no timer is set")
-            self._now = max(self._now, self._timers[0][0])
+            if self._timers[0][0] > self._now:
+                self._now, self._still_from = self._timers[0][0], self.steps
         while self._timers and self._timers[0][0] <= self._now:
             handle = heapq.heappop(self._timers)[3]
             if not handle.cancelled():
@@ -131,6 +134,8 @@
                 continue
             self.steps += 1
             handle_._run()
+            if self.steps - self._still_from > STILL:
+                raise Stuck(f"time stands still: {handle_!r}")
             if self._stuck is not None:
                 raise self._stuck  # the handle took it for a fault of the callback
             if self.after_step is not None:
--- a/tests/virtual/test_loop.py
+++ b/tests/virtual/test_loop.py
@@ -429,3 +429,19 @@
         assert server.received == 100
 
     run(loop, main())
+
+
+def test_callbacks_without_end_at_one_moment_are_told() -> None:
+    """As of a listener that stays readable and is looked at again at once."""
+
+    async def spin() -> None:
+        loop = asyncio.get_running_loop()
+
+        def again() -> None:
+            loop.call_soon(again)
+
+        again()
+        await asyncio.sleep(1.0)
+
+    with pytest.raises(Stuck, match="time stands still"):
+        run(VirtualLoop(1), spin())
