A caller is read on once its long body is whole, so that its going away is seen

At fault: BodyStream.finish. Now the last byte ends the hold. Ruled out: the caller's time limits (they look at bytes that wait to be written, and these had gone).

--- a/cometusher/stream.py
+++ b/cometusher/stream.py
@@ -74,9 +74,14 @@
             self._source.hold_body()
 
     def finish(self) -> None:
-        """The last byte has come."""
+        """The last byte has come.
+
+        Guards the end of the connection: a caller that is read no further, though nothing more of this body can
+        come, goes away unnoticed, and an answer that is passed on to it waits for good.
+        """
         self.done = True
         self.push()
+        self._read_on()
 
     def whole(self) -> bytes:
         """All of it, where it has come and nothing is let go."""
@@ -111,13 +116,17 @@
                 return  # it broke
         if self._taken > KEPT:
             self._let_go()
-        if self._held and self._waiting <= WAITING // 2:
-            self._held = False
-            self._source.more_body()
+        if self._waiting <= WAITING // 2:
+            self._read_on()
         if self.done and self._at == len(self._pieces) and self._taker is taker:
             self._taker = None
             taker.take_end()
 
+    def _read_on(self) -> None:
+        if self._held:
+            self._held = False
+            self._source.more_body()
+
     def _let_go(self) -> None:
         del self._pieces[: self._at]
         self._at = 0
@@ -133,8 +142,6 @@
         self._pieces.clear()
         self._at = self._waiting = 0
         self.spent = True
-        if self._held:
-            self._held = False
-            self._source.more_body()
+        self._read_on()
         if taker is not None:
             taker.take_loss()
--- a/tests/unit/test_stream.py
+++ b/tests/unit/test_stream.py
@@ -111,3 +111,16 @@
     stream.finish()
     stream.drop()
     assert backend.ended and not backend.lost
+
+
+def test_a_whole_body_holds_its_caller_no_longer_whoever_takes_it() -> None:
+    """It may be sent again from memory: without this a caller that goes away would not be seen to."""
+    caller = Caller()
+    stream, backend = BodyStream(caller), Backend(room=1)
+    stream.attach(backend)
+    stream.feed(b"xx")
+    stream.feed(b"x" * (WAITING + 1))
+    assert caller.held == 1
+    stream.detach(backend)
+    stream.finish()
+    assert caller.held == 0 and not stream.spent and len(stream.whole()) == WAITING + 3
