Orders are heard in one place, once for each event; one accept and one question of the front

Need: on re-reading, the other processes' orders were read by two copies of the same lines, a request looked at their count twice (in take and in its dispatch), the shared listener repeated the listener's accept, and the front's question was written twice.

--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -380,9 +380,9 @@
 
     def take(self, caller: CallerConnection, request: Request) -> Exchange | None:
         """A whole request has come."""
-        if self._succession is not None:
-            self._succession.heed()
         if request.target == READY_PATH and request.method == b"GET":
+            if self._succession is not None:
+                self._succession.heed()  # as before any event, which this is not
             caller.answer(200 if self.callers.posture.up else 503, list(self.mark), b"")
             return None
         try:
--- a/cometusher/succession.py
+++ b/cometusher/succession.py
@@ -125,10 +125,13 @@
         orders = self._files.ledger.orders()
         if orders != self._heeded:
             self._heeded = orders
-            news = self._files.news()
-            if news is not None:
-                self._take_orders(news)
-                self._proxy.take_posture()
+            self._hear()
+
+    def _hear(self) -> None:
+        news = self._files.news()
+        if news is not None:
+            self._take_orders(news)
+            self._proxy.take_posture()
 
     def stops(self) -> None:
         """It has been told to end."""
@@ -137,9 +140,7 @@
 
     def look(self) -> None:
         """See what the others do; called often."""
-        news = self._files.news()
-        if news is not None:
-            self._take_orders(news)
+        self._hear()  # a version before the count of orders does not count its own
         proxy = self._proxy
         yields = self._files.ledger.yields()
         if yields is not self._yields:
--- a/cometusher/virtual/network.py
+++ b/cometusher/virtual/network.py
@@ -528,12 +528,13 @@
         """Leave connections waiting."""
         self._waits = None
 
-    def accept(self) -> VirtualTransport:
-        """A connection; raises BlockingIOError where none waits, and EMFILE."""
+    def accept(self, holder: Machine | None = None) -> VirtualTransport:
+        """A connection, for one of its holders or for its own machine; raises BlockingIOError and EMFILE."""
         if not self.queue:
             raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
-        if self.machine is not None:
-            self.machine.take()
+        machine = holder or self.machine
+        if machine is not None:
+            machine.take()
         return self.queue.popleft()
 
     def refuse(self) -> None:
@@ -575,10 +576,7 @@
 
     def accept(self) -> VirtualTransport:
         """A connection; raises BlockingIOError where none waits, and EMFILE."""
-        if not self.source.queue:
-            raise BlockingIOError(errno.EAGAIN, os.strerror(errno.EAGAIN))
-        self.machine.take()
-        transport = self.source.queue.popleft()
+        transport = self.source.accept(self.machine)
         transport.belongs(self.machine)
         return transport
 
--- a/cometusher/virtual/world.py
+++ b/cometusher/virtual/world.py
@@ -59,6 +59,7 @@
 TIMERS = 4  # of a proxy at rest: the sweep, the watch, the module's...
 SPARE_TIMERS = 8  # ...and beside three for each request at work: what ends at this moment
 Heal = Callable[[], object]  # what ends a fault
+UP = b"GET /up HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n"
 KEY = re.compile(rb"\r\nidempotency-key: ([^\r\n]+)", re.IGNORECASE)
 SEND = re.compile(rb"\r\nx-call-id: ([^\r\n]+)", re.IGNORECASE)
 
@@ -342,8 +343,7 @@
             else:
                 self.loop.call_later(0.1, self._ask_up, door, life)
 
-        lines = b"GET /up HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n"
-        self.couriers[door.zone].send(Parcel(door.address, [lines], done=done))
+        self.couriers[door.zone].send(Parcel(door.address, [UP], done=done))
 
     def end_door(self, door: Door, excused: bool) -> None:
         """A proxy's process ends; what it owes is lost, and excused only if it was killed."""
@@ -861,8 +861,7 @@
             if answer is not None and answer.status == 200 and door.life == life and door.orders == orders:
                 self.ledger.says_yes(self.loop.time(), door.name)
 
-        lines = b"GET /up HTTP/1.1\r\nHost: p\r\nConnection: close\r\n\r\n"
-        parcel = Parcel(door.address, [lines], done=done)
+        parcel = Parcel(door.address, [UP], done=done)
         self.loop.call_soon(self.couriers[door.zone].connect, parcel, context=self.clients[door.zone].context())
         self.loop.call_later(UP_EVERY, self._see_it_out, door, life)
 
