--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -30,7 +30,7 @@
     Timer,
 )
 from weldroute.decide import COPY
-from weldroute.model import Rules
+from weldroute.model import Past, Rules
 
 SAFE = RequestClass("safe", aim=1.0, deadline=4.0, repeat=Repeat.SAFE)
 UNSAFE = RequestClass("unsafe", aim=1.0, deadline=4.0, repeat=Repeat.UNSAFE)
@@ -530,3 +530,88 @@
             b.outcome(at, rid, 0, Outcome.OK, 0.4, last=True)
         out.clear()
     assert refused == 0
+
+
+@pytest.mark.parametrize("why", ["no list yet", "all draining", "all banned"])
+def test_a_time_with_nobody_to_ask_does_not_outlive_itself(why: str) -> None:
+    """Refusals for want of a server leave neither a shut door nor saved-up retries behind."""
+    rows = [ServerRow(i) for i in range(8)]
+    b = Balancer(Settings(classes=(SAFE,), limits=Limits(max_attempts=3)), 1)
+    b.start(0.0)
+    if why != "no list yet":
+        b.members(0.0, ListKind.STALE, rows)
+        if why == "all draining":
+            b.members(0.0, ListKind.PATCH, [ServerRow(i, State.DRAINING) for i in range(8)])
+        for i in range(8 if why == "all banned" else 0):
+            b.ban(0.0, i)
+    saved = b.retry_tokens
+    for i in range(100):
+        now = i * 0.05
+        assert [type(a) for a in b.request(now, f"lost{i}", 0, deadline=now + 4.0)] == [Refuse]
+    assert b.retry_tokens == saved
+    b.members(5.0, ListKind.WHOLE, rows)
+    for i in range(8 if why == "all banned" else 0):
+        b.unban(5.0, i)
+    served = 0
+    for i in range(100):
+        now = 30.0 * (why == "all banned") + 5.0 + i * 0.05  # what comes back from a ban is spared at first
+        sends = [a for a in b.request(now, f"r{i}", 0, deadline=now + 4.0) if isinstance(a, Send)]
+        served += len(sends)
+        if sends:
+            b.outcome(now + 0.03, f"r{i}", 0, Outcome.OK, 0.03, last=True)
+    assert served == 100
+
+
+INHERITED = Settings(
+    classes=(
+        RequestClass("view", aim=1.0, deadline=4.0, repeat=Repeat.SAFE),
+        RequestClass("submit", aim=1.0, deadline=4.0, repeat=Repeat.KEYED, group=Group.ZONE, window=4.0),
+        RequestClass("once", aim=1.0, deadline=4.0, repeat=Repeat.UNSAFE),
+    ),
+    zones=2,
+)
+ROWS = [ServerRow(server=i, zone=i % 2, cell=i) for i in range(6)]
+
+
+def heir() -> Balancer:
+    balancer = Balancer(INHERITED, 1)
+    balancer.members(0.0, ListKind.WHOLE, ROWS)
+    balancer.retry_tokens = 0.0  # what a lost process leaves owes the retry budget nothing
+    return balancer
+
+
+@pytest.mark.parametrize(("kind", "past", "wanted"), [
+    (0, [], "any"), (0, [Past(2, 9.5)], "other"), (1, [Past(2, 9.5, zone=0, cell=2)], "zone"),
+    (1, [Past(2, 9.5, maybe_ran=False, zone=0)], "other"), (1, [Past(99, 9.5, zone=0)], "zone"),
+    (1, [Past(2, 5.0, zone=0)], "fail"), (2, [Past(2, 9.5)], "fail"), (2, [Past(2, 9.5, maybe_ran=False)], "other"),
+    (0, [Past(1, 9.5), Past(2, 9.6), Past(3, 9.7)], "refuse"),
+])
+def test_a_request_of_a_lost_process_goes_on_by_the_rules(kind: int, past: list[Past], wanted: str) -> None:
+    (action,) = heir().inherit(10.0, "r", kind, 0, 12.0, past)
+    if wanted in ("fail", "refuse"):
+        assert isinstance(action, Fail if wanted == "fail" else Refuse)
+        return
+    assert isinstance(action, Send)
+    assert wanted != "zone" or action.server % 2 == 0
+    assert action.server not in [one.server for one in past]
+
+
+def test_a_joined_attempt_is_one_of_its_own() -> None:
+    balancer = heir()
+    past = [Past(2, 9.0, maybe_ran=False), Past(3, 9.5, joined=True)]
+    assert balancer.inherit(10.0, "r", 2, 0, 12.0, past) == []
+    assert len(balancer.servers[3].out) == 1
+    assert balancer.outcome(10.5, "r", 1, Outcome.OK, 1.0, last=True) == []
+    assert not balancer.servers[3].out and not balancer.requests
+
+
+def test_a_joined_attempt_that_breaks_is_decided_as_any_other() -> None:
+    balancer = heir()
+    balancer.inherit(10.0, "r", 2, 0, 12.0, [Past(3, 9.5, joined=True)])
+    (action,) = balancer.outcome(10.5, "r", 0, Outcome.BROKEN, 1.0)
+    assert isinstance(action, Fail)
+
+
+def test_work_whose_body_is_lost_or_whose_time_is_up_is_not_sent() -> None:
+    assert isinstance(heir().inherit(10.0, "r", 0, 0, 12.0, [], spent=True)[0], Refuse)
+    assert isinstance(heir().inherit(10.0, "r", 0, 0, 9.0, [])[0], Refuse)
--- /dev/null
+++ b/tests/unit/test_siblings.py
@@ -0,0 +1,270 @@
+"""Who fares worse than its siblings: by comparison alone, and back by steps."""
+
+from __future__ import annotations
+
+import math
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from weldroute.model import Outcome
+from weldroute.siblings import (
+    CELLS,
+    LONG,
+    MOST,
+    PORTIONS,
+    ZONES,
+    Comparison,
+    Counting,
+    Finding,
+    Key,
+    Siblings,
+    Why,
+    chernoff,
+    read_account,
+)
+
+EVERY = 0.05
+POLICY = Comparison()
+
+
+class World:
+    """Processes that serve, and one observer."""
+
+    def __init__(self, count: int, rate: float = 20.0, seed: int = 1, tiers: int = 1) -> None:
+        self.siblings = Siblings(POLICY)
+        self.rng = Random(seed)
+        self.rate = rate
+        self.now = 50.0
+        self.keys: list[Key] = [(f"p{i}", 1) for i in range(count)]
+        self.tiers = {key: i % tiers for i, key in enumerate(self.keys)}
+        self.cells = {key: [0] * CELLS for key in self.keys}
+        self.counting = {key: Counting(self.cells[key]) for key in self.keys}
+        self.times = dict.fromkeys(self.keys, 0.03)
+        self.cut: set[tuple[Key, int]] = set()
+        self.version = dict.fromkeys(self.keys, 7)
+        self.full: set[Key] = set()
+        self.fails = 0.0  # of all attempts
+        self.found: list[tuple[float, Key, Finding]] = []
+
+    def serve(self, key: Key) -> None:
+        zone = self.rng.randrange(2)
+        if (key, zone) in self.cut or self.rng.random() < self.fails:
+            self.counting[key].ended(zone, Outcome.UNREACHABLE, 0.25)
+        else:
+            self.counting[key].ended(zone, Outcome.OK, self.times[key] * math.exp(self.rng.gauss(0.0, 0.5)))
+
+    def run(self, seconds: float) -> dict[Key, Finding]:
+        """Serve and look for so long; who is found at the end."""
+        found: dict[Key, Finding] = {}
+        for _ in range(round(seconds / EVERY)):
+            self.now += EVERY
+            for key in self.keys:
+                if self.rng.random() < self.rate * self.siblings.portion(key) * EVERY:
+                    self.serve(key)
+                self.counting[key].stands(self.version[key], key in self.full)
+            found = self.siblings.look(
+                self.now, {key: read_account(self.cells[key], self.tiers[key]) for key in self.keys}
+            )
+            self.found += [(self.now, key, one) for key, one in found.items()]
+        return found
+
+
+@pytest.mark.parametrize("rate", [1.0, 20.0])
+@pytest.mark.parametrize("fails", [0.0, 0.1, 0.6])
+def test_processes_that_fare_alike_are_left_alone_however_they_fare(rate: float, fails: float) -> None:
+    world = World(20, rate)
+    world.fails = fails
+    world.run(120.0)
+    assert world.found == []
+
+
+def test_one_that_reaches_no_backend_of_a_zone_is_found_within_a_second() -> None:
+    world = World(8)
+    world.run(5.0)
+    key, begin = world.keys[3], world.now
+    world.cut.add((key, 1))
+    found = world.run(1.0)
+    assert {one: finding.why for one, finding in found.items()} == {key: Why.PATH}
+    assert found[key].text.startswith("zone 1: ") and world.found[0][0] - begin < 0.9
+    assert world.siblings.portion(key) == PORTIONS[0] and world.siblings.portion(world.keys[0]) == 1.0
+
+
+def test_a_zone_that_nobody_reaches_is_nobodys_fault() -> None:
+    world = World(8)
+    world.run(5.0)
+    world.cut |= {(key, 1) for key in world.keys}
+    world.run(20.0)
+    assert world.found == []
+
+
+@pytest.mark.parametrize("rate", [20.0, 100.0])
+@pytest.mark.parametrize("seed", range(5))
+def test_one_that_is_five_times_slower_is_found_and_all_that_are_slow_together_are_not(
+    rate: float, seed: int
+) -> None:
+    world = World(8, rate, seed)
+    world.run(5.0)
+    for change in (5.0, 0.2, 5.0):
+        world.times = {key: change * time for key, time in world.times.items()}
+        world.run(5.0)
+        assert world.found == []
+    world.times[world.keys[5]] *= 5.0
+    found = world.run(0.7)
+    assert {key: finding.why for key, finding in found.items()} == {world.keys[5]: Why.SLOW}
+
+
+def test_one_that_is_a_little_slower_is_not() -> None:
+    world = World(8, rate=100.0)
+    world.times[world.keys[5]] *= 1.5
+    world.run(30.0)
+    assert world.found == []
+
+
+@pytest.mark.parametrize("heard", [4, 5])
+def test_lists_that_are_older_than_half_of_all_have_count_after_a_while(heard: int) -> None:
+    world = World(8)
+    world.run(2.0)
+    for key in world.keys[:heard]:
+        world.version[key] = 8
+    world.run(POLICY.behind - 0.2)
+    assert world.found == []
+    found = world.run(0.4)
+    assert {finding.why for finding in found.values()} == {Why.BEHIND} and set(found) == set(world.keys[heard:])
+    world = World(8)
+    world.version[world.keys[0]] = 9  # the first to hear, or one that heard something odd
+    world.run(10.0)
+    assert world.found == []
+
+
+def test_one_without_descriptors_counts_at_once_but_not_where_most_have_none() -> None:
+    world = World(8)
+    world.full = {world.keys[1]}
+    assert world.run(0.1)[world.keys[1]].why is Why.FULL
+    world = World(8)
+    world.full = set(world.keys[:4])
+    world.run(5.0)
+    assert world.found == []
+
+
+def test_tiers_are_not_compared_with_each_other() -> None:
+    world = World(8, tiers=2)
+    for key in world.keys:
+        if world.tiers[key]:
+            world.times[key], world.version[key] = 0.5, 3
+    world.run(20.0)
+    assert world.found == []
+
+
+def test_the_way_back_is_by_steps_with_evidence_and_begins_anew_where_it_shows_again() -> None:
+    world = World(8)
+    world.run(5.0)
+    key = world.keys[3]
+    world.cut.add((key, 1))
+    world.run(3.0)
+    world.cut.clear()
+    portions: list[float] = []
+    mended = world.now
+    while not portions or portions[-1] < 1.0:
+        world.run(EVERY)
+        portions.append(world.siblings.portion(key))
+        assert world.now < mended + 4 * POLICY.retry
+    assert sorted(set(portions)) == list(PORTIONS) and portions == sorted(portions)
+    assert world.now - mended >= 2 * POLICY.steady
+    world.run(POLICY.steady)
+    assert world.run(EVERY) == {}
+    world.cut.add((key, 0))
+    world.run(2.0)
+    assert world.siblings.portion(key) == PORTIONS[0]
+    world.run(60.0)
+    assert world.siblings.portion(key) < 1.0, "it is still cut, and shows so at each step"
+    begin = world.now
+    world.run(120.0)
+    assert sum(at > begin and one == key for at, one, _ in world.found) > 0.95 * 120.0 / EVERY, "and goes on to"
+
+
+def test_without_evidence_it_is_tried_again_after_a_while() -> None:
+    world = World(8)
+    world.full = {world.keys[1]}
+    world.run(1.0)
+    world.full = set()
+    world.rate = 0.0
+    world.run(POLICY.retry - 1.0)
+    assert world.siblings.portion(world.keys[1]) == PORTIONS[0]
+    world.run(3.0 * POLICY.retry)
+    assert world.siblings.portion(world.keys[1]) == 1.0
+
+
+def test_what_it_showed_in_a_crowd_does_not_hold_it_for_long() -> None:
+    world = World(8)
+    key = world.keys[3]
+    world.full = {key}
+    world.run(1.0)
+    for _ in range(80):
+        world.counting[key].ended(0, Outcome.OK, 2.0)
+    world.full = set()
+    begin = world.now
+    while world.siblings.portion(key) < 1.0:
+        world.run(EVERY)
+        assert world.now < begin + 20.0
+
+
+def test_what_it_showed_last_does_not_hold_it_for_ever_where_it_gets_nothing_more() -> None:
+    world = World(8)
+    key = world.keys[3]
+    world.run(2.0)
+    for _ in range(80):
+        world.counting[key].ended(0, Outcome.OK, 2.0)
+    world.run(EVERY)
+    assert world.siblings.portion(key) == PORTIONS[0]
+    begin, world.keys = world.now, [one for one in world.keys if one != key]
+    account = read_account(world.cells[key], 0)
+    while world.siblings.portion(key) < 1.0:
+        world.now += EVERY
+        for one in world.keys:
+            world.serve(one)
+        accounts = {one: read_account(world.cells[one], 0) for one in world.keys}
+        world.siblings.look(world.now, accounts | {key: account})
+        assert world.now < begin + 8 * POLICY.retry
+
+
+def test_what_was_called_off_soon_tells_nothing_and_what_lasted_long_does() -> None:
+    cells = [0] * CELLS
+    counting = Counting(cells)
+    for _ in range(50):
+        counting.ended(0, Outcome.OK, 0.1)
+    counting.ended(0, Outcome.CANCELLED, 0.5)
+    counting.ended(0, Outcome.ERROR, 0.01)
+    counting.ended(0, Outcome.VOID, 0.01)
+    account = read_account(cells, 0)
+    assert (account.answered, sum(account.missed)) == (50, 0), "0.8 s is eight times the usual"
+    counting.ended(0, Outcome.CANCELLED, 0.9)
+    counting.ended(9, Outcome.BROKEN, 0.0)
+    account = read_account(cells, 0)
+    assert account.missed == (1, 0, 0, 1) and len(account.missed) == ZONES
+    fresh = Counting([0] * CELLS)
+    assert fresh._long(LONG) and not fresh._long(0.9 * LONG)
+
+
+def test_whatever_discovery_calls_a_version_fits() -> None:
+    cells = [0] * CELLS
+    counting = Counting(cells)
+    for version, kept in ((-5, 0), (2**200, MOST), (12, 12)):
+        counting.stands(version, True)
+        account = read_account(cells, 0)
+        assert (account.version, account.full) == (kept, True)
+
+
+@given(st.integers(0, 400), st.integers(1, 400), st.floats(0.01, 0.9))
+def test_the_bound_is_never_below_the_chance_itself(misses: int, count: int, usual: float) -> None:
+    misses = min(misses, count)
+    chance = sum(math.comb(count, k) * usual**k * (1.0 - usual) ** (count - k) for k in range(misses, count + 1))
+    assert 10.0 ** -chernoff(misses, count, usual) >= chance * (1.0 - 1e-9)
+
+
+@pytest.mark.parametrize(("name", "value"), [("unlike", 0.0), ("slower", 1.0), ("window", math.nan)])
+def test_thresholds_that_make_no_sense_name_the_field(name: str, value: float) -> None:
+    with pytest.raises(ValueError, match=name):
+        Siblings(Comparison(**{name: value}))
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -22,6 +22,7 @@
     Group,
     ListKind,
     Outcome,
+    Past,
     Refuse,
     Repeat,
     RequestId,
@@ -548,6 +549,7 @@
         self.put_back: dict[ServerId, float] = {}  # those not tried since, and when they are due
         self.returned: dict[ServerId, tuple[float, float]] = {}  # lately banned: from when to when
         self.ready: list[Server] = []
+        self.kept: list[ServerId] | None = None  # first tries go there if they can, while new connections are scarce
         self.near = Circle()  # where ordinary picks draw both candidates...
         self.far = Circle()  # ...and one more, where zones count
         self.look_at = 0.0
@@ -738,13 +740,19 @@
         request = Request(rid, kind, tenant, now, deadline)
         request.coming = coming
         self.requests[rid] = request
-        self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
         # The pace of calls asked, not sent: where all are cold nothing would ever be sent.
         self.rate = self.rate * max(0.0, 1.0 - (now - self.rate_at) / 2.0) + 0.5
         self.rate_at = now
         if now >= self.look_at:
             self._resize(now)
         out: list[Action] = []
+        if not self.ready:
+            # Guards against a failure that outlives its cause: with nobody to ask (no list yet, all drained, all
+            # banned) a refusal says nothing of load, and earns no retries. The door would stay shut for its window.
+            request.counted = True
+            self._answer(now, request, out)
+            return out
+        self.retry_tokens = min(RETRY_BURST, self.retry_tokens + RETRY_SHARE)
         entry = self.entry
         if entry is not None:
             request.slot = entry.slot(now, kind, tenant)
@@ -752,12 +760,48 @@
                 request.counted = True
                 self._answer(now, request, out)
                 return out
-        if deadline <= now or not self._send(now, request, None, True, out):
+        sent = False
+        if deadline > now:
+            if self.kept is not None:
+                kept = [s for n in self.kept if (s := self.servers.get(n)) is not None and self._takes(s)]
+                sent = self._send(now, request, kept, True, out)
+            sent = sent or self._send(now, request, None, True, out)
+        if not sent:
             self._answer(now, request, out)
         elif not coming:
             self._plan_copy(now, request, out)
         return out
 
+    def inherit(
+        self, now: float, rid: RequestId, kind: int, tenant: int, deadline: float, past: Sequence[Past],
+        spent: bool = False,
+    ) -> list[Action]:
+        """A request that another process took and did not finish: it was let in there, and its attempts count.
+
+        Those that are `joined` go on here; without one, it goes on as after an attempt that ended. That costs the
+        retry budget nothing: what a lost process leaves is bounded, and no more load than before.
+        """
+        request = Request(rid, kind, tenant, now, deadline)
+        request.counted, request.spent = True, spent
+        self.requests[rid] = request
+        for one in past:
+            server = self.servers.get(one.server) or Server(ServerRow(one.server, State.GONE, one.zone, one.cell))
+            attempt = Attempt(server, one.sent)
+            attempt.open, attempt.maybe_ran = one.joined, one.maybe_ran
+            request.attempts.append(attempt)
+            if one.joined:
+                request.open += 1
+                server.out[attempt] = None
+                server.breaker = server.breaker or Breaker()
+            else:
+                attempt.how = Outcome.BROKEN if one.maybe_ran else Outcome.UNREACHABLE
+        out: list[Action] = []
+        if request.open:
+            self._plan_copy(now, request, out)
+        elif not self._further(now, request, out):
+            self._answer(now, request, out)
+        return out
+
     def whole(self, now: float, rid: RequestId, deadline: float) -> list[Action]:
         """The last byte of a request that went out while it came: its time, and its attempt's, count from here.
 
@@ -949,18 +993,23 @@
 
     def _again(self, now: float, request: Request, out: list[Action]) -> bool:
         """Try a further attempt within the rules and the retry budget."""
+        if self.retry_tokens < 1.0 or not self._further(now, request, out):
+            return False
+        self.retry_tokens -= 1.0
+        return True
+
+    def _further(self, now: float, request: Request, out: list[Action]) -> bool:
+        """Try a further attempt within the rules."""
         limits = self.settings.limits
-        if request.done or request.bound or request.spent or now >= request.deadline or self.retry_tokens < 1.0:
+        if request.done or request.bound or request.spent or now >= request.deadline:
             return False
         if len(request.attempts) >= limits.max_attempts:
             return False
         if request.open and (request.open > 1 or not limits.second_copies):
             return False
+        first = not request.attempts
         among = self._among(now, request)
-        if not self._send(now, request, among, False, out) and not self._resend(now, request, among, out):
-            return False
-        self.retry_tokens -= 1.0
-        return True
+        return self._send(now, request, among, first, out) or (not first and self._resend(now, request, among, out))
 
     def _answer(self, now: float, request: Request, out: list[Action]) -> None:
         """The final answer: refused where that promise holds, else failed."""
--- a/weldroute/fleet.py
+++ b/weldroute/fleet.py
@@ -35,6 +35,8 @@
 from random import Random
 from typing import Any
 
+from weldroute.herd import Blow, Herd, HerdPolicy
+
 LEAST = {"hang_after": 0.5, "ready_within": 0.1}  # below that the supervisor's own pace would decide
 PAUSE = 2.0  # seconds between two ticks from which on the supervisor itself was stopped
 
@@ -174,7 +176,7 @@
 
     __slots__ = (
         "beat_at", "busy", "cpu", "cpu_at", "deadline", "ending", "finished", "finished_at", "generation", "phase",
-        "piped", "ready_at", "since", "up_at",
+        "piped", "ready_at", "since", "up_at", "waits",
     )
 
     def __init__(self, generation: int, now: float, deadline: float) -> None:
@@ -191,6 +193,7 @@
         self.finished = 0  # requests answered...
         self.finished_at = now  # ...and when that last grew
         self.busy = False
+        self.waits = False  # it answers, and can serve nothing yet
         self.ending = ""  # why it was told to end
 
     def shift(self, gap: float) -> None:
@@ -209,8 +212,9 @@
 class Instance:
     """One name that should run, or not."""
 
-    def __init__(self, name: str) -> None:
+    def __init__(self, name: str, tier: int = 0) -> None:
         self.name = name
+        self.tier = tier
         self.wanted = False
         self.removed = False
         self.current: Process | None = None
@@ -273,12 +277,13 @@
 class Fleet:
     """All instances of one supervisor."""
 
-    def __init__(self, policy: Policy, seed: int) -> None:
+    def __init__(self, policy: Policy, seed: int, herd: HerdPolicy | None = None) -> None:
         policy.check()
         self.policy = policy
         self.instances: dict[str, Instance] = {}
         self.ending = False
         self._rng = Random(seed)
+        self.herd = Herd(herd, self._rng) if herd is not None else None
         self._count = 0
         self._ticked: float | None = None
         self._at_once: list[Operation] = []  # starts and stops: nothing to wait for
@@ -287,9 +292,9 @@
 
     # ---- what operators ask for ----------------------------------------------------------
 
-    def add(self, now: float, name: str, generation: int = 0) -> None:
+    def add(self, now: float, name: str, generation: int = 0, tier: int = 0) -> None:
         """Take an instance into the fleet; it is not started by that. Generations go on from the one given."""
-        self.instances[name] = instance = Instance(name)
+        self.instances[name] = instance = Instance(name, tier)
         instance.generation = generation
         instance.since = now
 
@@ -374,9 +379,24 @@
         if found is None:
             return []
         found[1].up_at = now
+        found[1].waits = False
         self._check_ready(now, *found)
         return self._advance(now)
 
+    def waits(self, now: float, name: str, generation: int) -> None:
+        """A process answered a readiness check: it is well, and can serve nothing yet.
+
+        Guards against ending it for what it waits for: one that knows no backend is not ready, however long that
+        takes, and holds up no other's start.
+        """
+        found = self._process(name, generation)
+        if found is not None:
+            process = found[1]
+            process.waits = True
+            process.up_at = now
+            if process.phase is Phase.STARTING:
+                process.deadline = now + self.policy.ready_within
+
     def beat(self, now: float, name: str, generation: int, finished: int) -> None:
         """A process gave a sign of life; `finished` counts the requests that it has answered."""
         found = self._process(name, generation)
@@ -408,6 +428,13 @@
             self._end(now, found[1], f"out of memory: {text}", name)
         return self._advance(now)
 
+    def stalled(self, now: float, name: str, generation: int, why: str) -> list[Action]:
+        """A process stands still, as a closer watch has found: it is killed, and another started."""
+        found = self._process(name, generation)
+        if found is not None and found[1].phase is Phase.READY:
+            self._kill(found[1], found[0], f"stalled: {why}")
+        return self._advance(now)
+
     def reloaded(self, now: float, name: str, generation: int, why: str | None) -> list[Action]:
         """A process's word on a reload: done, or why not."""
         for operation in [*self._at_once, *self._rolling]:
@@ -527,11 +554,14 @@
             instance.crashes.popleft()
         steady = now - process.ready_at >= policy.steady_after
         instance.quick = 1 if steady else instance.quick + 1
+        blow = self._blow(now, instance, process)
         if instance.fresh is not None:
             instance.current, instance.fresh = instance.fresh, None
             instance.restarts += 1
             instance.crashed = False
             self._out.append(Notice(instance.name, "exited", f"{why}; the fresh process takes over", True))
+        elif blow is not None:
+            self._come_back(now, blow)
         elif len(instance.crashes) > policy.budget:
             instance.failed = True
             instance.reason = f"ended {len(instance.crashes)} times within {policy.budget_window:g} s; last: {why}"
@@ -545,6 +575,42 @@
             if delay > policy.hold:
                 self._out.append(Release(instance.name))
 
+    def _blow(self, now: float, instance: Instance, process: Process) -> Blow | None:
+        """The blow that an end is part of, if it is one that budgets and backoffs leave out."""
+        if self.herd is None or process.ending or instance.last_exit is None:
+            return None
+        how = instance.last_exit
+        last = self.herd.latest
+        blow = self.herd.ended(now, instance.name, len(self.instances), how.signal, how.out_of_memory)
+        if blow is None:
+            return None
+        forgiven = self.herd.forgives(now, self.policy.budget_window)
+        if blow is not last:
+            text = f"{len(blow.names)} of {blow.of} ended within {self.herd.policy.within:g} s, {blow.cause}"
+            text += "; budgets are not charged" if forgiven else "; one too many: budgets are charged"
+            self._out.append(Notice("", "blow", text, True))
+        if not forgiven:
+            return None
+        for name in blow.names if blow is not last else (instance.name,):
+            fallen = self.instances.get(name)
+            if fallen is not None and fallen.crashes:
+                fallen.crashes.pop()
+                fallen.quick = max(0, fallen.quick - 1)
+        return blow
+
+    def _come_back(self, now: float, blow: Blow) -> None:
+        """Start in waves what a blow has ended and nobody has started again yet."""
+        assert self.herd is not None
+        down = [
+            instance for name in blow.names if (instance := self.instances.get(name)) is not None
+            and instance.current is None and instance.wanted
+        ]
+        due = self.herd.spread(blow, [(instance.name, instance.tier) for instance in down])
+        for instance in down:
+            instance.failed = False
+            instance.crashed = True
+            instance.due = max(now, due[instance.name])
+
     def _backoff(self, quick: int) -> float:
         """Exponential, with jitter: instances that fell together must not start together."""
         policy = self.policy
@@ -711,7 +777,9 @@
         waiting = sorted(due, key=lambda pair: pair[0])  # stable: of equals, as the file has them
         if not waiting:
             return
-        starting = sum(p.phase is Phase.STARTING for i in self.instances.values() for p in i.processes)
+        starting = sum(
+            p.phase is Phase.STARTING and not p.waits for i in self.instances.values() for p in i.processes
+        )
         for _, name in waiting[: max(0, self.policy.start_at_once - starting)]:
             instance = self.instances[name]
             instance.due = None
--- a/weldroute/model.py
+++ b/weldroute/model.py
@@ -247,6 +247,18 @@
     started: float = 0.0
 
 
+@dataclass(slots=True, frozen=True)
+class Past:
+    """An attempt that another process made for a request that is taken over from it."""
+
+    server: ServerId
+    sent: float
+    maybe_ran: bool = True
+    joined: bool = False  # it goes on here
+    zone: int = 0
+    cell: int = 0
+
+
 @dataclass(slots=True)
 class Send:
     """Start an attempt; `timeout` 0 means until the client gives up."""
--- a/weldroute/operations.py
+++ b/weldroute/operations.py
@@ -8,8 +8,11 @@
 | SERVING | evacuate, yielded, stop | yes | yes | no | yes | yes |
 | EVACUATED | rejoin, stop | no | yes | yes | for EVACUATE_IDLE | yes |
 | YIELDING | resumed, stop | as before | no | yes | yes | yes |
+| ASIDE | its supervisor, stop | as before | no | yes | yes | yes |
 | STOPPING | nothing | no once deaf | for STOP_ACCEPT | from `keep` on | for `keep` | STOP_READ longer |
 
+ASIDE is a process that fares worse than its siblings: its supervisor accepts for it, and gives it what it may have.
+
 A process that stops while its successor serves the same listener stops listening and ends connections with their
 answers from the first moment: their callers have somewhere to go.
 """
@@ -31,6 +34,7 @@
     SERVING = "serving"
     EVACUATED = "evacuated"
     YIELDING = "yielding"
+    ASIDE = "aside"
     STOPPING = "stopping"
 
 
@@ -61,6 +65,7 @@
 DONE = Verdict(200, "done")
 ALREADY = Verdict(200, "already so")
 STOPPING = Verdict(409, "this process is stopping")
+NOT_YET = Verdict(503, "not yet")
 UNKNOWN = Verdict(404, "no backend of this id")
 
 
@@ -71,6 +76,7 @@
         self.evacuated = False  # by operators; outlives this process
         self._evacuated_at = 0.0
         self._yielding = False  # a newer process serves the same listener
+        self.aside = False  # its supervisor accepts on the same listener
         self._stopped_at: float | None = None
         self._keep = 0.0
         self.serving = False  # it listens, and knows where to send
@@ -82,15 +88,17 @@
             return Stance.STOPPING
         if self._yielding:
             return Stance.YIELDING
-        return Stance.EVACUATED if self.evacuated else Stance.SERVING
+        if self.evacuated:
+            return Stance.EVACUATED
+        return Stance.ASIDE if self.aside else Stance.SERVING
 
     def posture(self, now: float) -> Posture:
         """What holds at this moment."""
         drained = self.evacuated and now - self._evacuated_at >= EVACUATE_IDLE
         if self._stopped_at is None:
             return Posture(
-                up=not self.evacuated, listens=not self._yielding, closes=self.evacuated or self._yielding,
-                keeps_idle=not drained,
+                up=not self.evacuated, listens=not (self._yielding or self.aside),
+                closes=self.evacuated or self._yielding or self.aside, keeps_idle=not drained,
             )
         since = now - self._stopped_at
         listens = since < STOP_ACCEPT and not self._yielding
@@ -135,7 +143,7 @@
         """Whether this process can serve."""
         if self._stopped_at is not None:
             return STOPPING
-        return DONE if self.serving else Verdict(503, "not yet")
+        return DONE if self.serving else NOT_YET
 
 
 # ---- calls -------------------------------------------------------------------------------
--- /dev/null
+++ b/weldroute/vigil.py
@@ -0,0 +1,382 @@
+"""Which processes of a fleet stand still, from evidence, and what is done about it. Sans I/O, without clocks.
+
+Evidence of a process (`Evidence`) is sampled several times a second by one observer, who looks at what cannot lie or
+wait: when the process's event loop turned last (a cell of shared memory that it writes), what the kernel says of its
+state, of the processor time that it used and of the time that it was ready to run and had no processor, and since
+when a connection waits at its listener that nobody accepts.
+
+How unlikely the silence is: `phi`, the accrual detector of Hayashibara et al. (SRDS 2004), minus the decimal
+logarithm of the chance that a beat comes even later, for normally distributed gaps of the mean and deviation seen
+lately. A threshold of phi is a rate of false alarms, one in 10^phi looks, as long as gaps are as they were. What is
+no fault of the process's is taken off its silence first (local health, Lifeguard, Dadgar et al. 2017): the time that
+it waited for a processor, and what the observer itself was late.
+
+| judgement | evidence                                                    | what follows                             |
+| --------- | ----------------------------------------------------------- | ---------------------------------------- |
+| well      | phi under `suspect`, nothing waits for long at its listener | what it was relieved of comes back       |
+| suspect   | phi over `suspect`, or a connection waited for `unaccepted` | others accept what waits at its listener |
+| stalled   | phi over `certain` for so long as its cause asks for        | killed, which fences it, and replaced    |
+
+| cause    | evidence beside the silence           | stalled when silent for so long         |
+| -------- | ------------------------------------- | --------------------------------------- |
+| stopped  | the kernel says so (T, t of proc(5))  | `stopped_for`                           |
+| hung     | it uses no processor time             | `hung_for`                              |
+| spinning | it uses processor time, and no turn   | `spinning_for`                          |
+| starved  | it had no processor                   | never judged                            |
+| deaf     | it turns, and accepts nothing         | others accept for it; it is never killed |
+
+Two bounds hold whatever the evidence says. No more than `share` of the fleet is acted upon at once: who was killed
+counts until another is ready in its place. And when more than `distrust` of all look ill by their silence alone, the
+evidence is distrusted and not the fleet: nobody is killed for it. A state that the kernel tells is no such evidence.
+One that lives and fares worse than its siblings (`weldroute.siblings`) is never killed for it: most of its new
+connections go to others, and it gets them back by steps.
+
+A judgement ends only when beats have come for `steady` seconds, so that one that flaps is not accepted for by turns.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Any
+
+from weldroute.checks import check_numbers
+from weldroute.siblings import Account, Comparison, Finding, Key, Siblings
+
+LEARNS = 0.05  # the part of a new sample in means and deviations...
+LEARNS_ILL = 0.005  # ...and while it is suspect: one that flaps must not teach that flapping is well
+FLOOR = 0.025  # seconds: no deviation is taken to be less, for timers and looks are that coarse
+PAUSE = 1.0  # seconds between two looks from which on the observer itself was away
+KEPT = 64  # notes of one name
+ACTED_FOR = 10.0  # seconds for which one that was replaced, and that nobody follows, counts
+LOG10_E = math.log10(math.e)
+
+
+class Judgement(Enum):
+    """Of one process."""
+
+    WELL = "well"
+    SUSPECT = "suspect"
+    STALLED = "stalled"
+
+
+class Cause(Enum):
+    """Why it is silent, as far as can be told from outside."""
+
+    NONE = ""
+    STOPPED = "stopped"
+    HUNG = "hung"
+    SPINNING = "spinning"
+    STARVED = "starved"
+    DEAF = "deaf"
+
+
+class Do(Enum):
+    """What is done about a process."""
+
+    RELIEVE = "others accept for it"
+    RETURN = "it accepts alone again"
+    ASIDE = "most of its new connections go to others"
+    RESTORE = "all of its new connections are its own again"
+    REPLACE = "it is replaced"
+
+
+@dataclass(frozen=True, slots=True)
+class VigilPolicy:
+    """Thresholds; times in seconds."""
+
+    beat: float = 0.05  # between the beats of a process that is well
+    suspect: float = 6.0  # phi
+    certain: float = 12.0  # phi
+    stopped_for: float = 0.3
+    hung_for: float = 0.5
+    spinning_for: float = 3.0
+    unaccepted: float = 0.5  # for which a connection may wait at a listener
+    steady: float = 0.5
+    share: float = 0.35  # of the fleet that is acted upon at once
+    distrust: float = 0.5  # of the fleet
+
+    def check(self) -> None:
+        """Raise ValueError naming the first field that makes no sense."""
+        check_numbers(self)
+        for name in ("share", "distrust"):
+            if getattr(self, name) > 1.0:
+                raise ValueError(f"{name}: {getattr(self, name)!r} is above 1")
+        if self.certain < self.suspect:
+            raise ValueError("certain: below suspect")
+
+
+@dataclass(frozen=True, slots=True)
+class Evidence:
+    """What was seen of one process at one look; seconds of the machine's clock, and of time used."""
+
+    turned: float  # when its event loop turned last; 0: never yet
+    stopped: bool = False
+    ran: float = 0.0  # processor time since its start
+    starved: float = 0.0  # time since its start in which it was ready to run and had no processor
+    waits: float = 0.0  # for how long something waits at its listener
+    progress: int = 0  # attempts that have ended: a sign of life beside the beat
+
+
+@dataclass(frozen=True, slots=True)
+class Act:
+    """Something to be done."""
+
+    key: Key
+    do: Do
+    why: str
+
+
+def phi(silence: float, mean: float, deviation: float) -> float:
+    """Minus log10 of the chance that a beat comes later than after `silence` seconds."""
+    x = (silence - mean) / max(deviation, FLOOR)
+    if x > 6.0:  # erfc ends at 0: its asymptote (Abramowitz and Stegun 7.1.23)
+        return x * x / 2.0 * LOG10_E + math.log10(x * math.sqrt(2.0 * math.pi))
+    return -math.log10(0.5 * math.erfc(x / math.sqrt(2.0)))
+
+
+@dataclass(slots=True)
+class Watched:
+    """What is known of one process."""
+
+    mean: float  # of the gaps between beats...
+    deviation: float
+    turned: float = 0.0
+    since: float = 0.0  # when the silence began to be counted
+    ran: float = 0.0  # at the last beat...
+    starved: float = 0.0
+    excused: float = 0.0  # seconds of the silence in which the observer was late
+    judgement: Judgement = Judgement.WELL
+    cause: Cause = Cause.NONE
+    phi: float = 0.0
+    certain_since: float = math.inf
+    well_since: float = -math.inf
+    relieved: bool = False
+    replaced: bool = False
+    progress: int = 0
+    aside: Finding | None = None  # why most of its new connections go to others
+
+    def beats(self, now: float, evidence: Evidence) -> None:
+        """Its loop has turned since the last look."""
+        if self.turned:
+            gap = max(0.0, evidence.turned - self.turned - (evidence.starved - self.starved) - self.excused)
+            # What lies between two looks may be several beats: a gap is never taken to be longer than it was.
+            off = min(gap, 4.0 * self.mean) - self.mean
+            part = LEARNS if self.judgement is Judgement.WELL else LEARNS_ILL
+            self.mean += part * off
+            self.deviation = math.sqrt((1.0 - part) * (self.deviation**2 + part * off * off))
+        self.turned = self.since = evidence.turned
+        self.ran, self.starved, self.excused = evidence.ran, evidence.starved, 0.0
+        if self.well_since < 0.0:
+            self.well_since = now
+
+
+class Vigil:
+    """All processes of one fleet, as one observer judges them."""
+
+    def __init__(self, policy: VigilPolicy, comparison: Comparison | None = None) -> None:
+        policy.check()
+        self.policy = policy
+        self.siblings = Siblings(comparison or Comparison())
+        self.processes: dict[Key, Watched] = {}
+        self.notes: dict[str, deque[tuple[float, str]]] = {}
+        self.counts = {
+            "suspected": 0, "replaced": 0, "recovered": 0, "distrusted": 0, "held_back": 0, "unlike": 0,
+        }
+        self._acted: dict[str, tuple[int, float]] = {}  # replaced: the generation that has to be followed, and when
+        self._looked = -math.inf
+        self._held: set[Key] = set()  # told once that the budget holds them back
+
+    def gone(self, key: Key) -> None:
+        """A process is no more."""
+        self.processes.pop(key, None)
+        self._held.discard(key)
+
+    def ready(self, key: Key) -> None:
+        """A process is ready: if it stands in for one that was replaced, that one counts no more."""
+        if key[0] in self._acted and self._acted[key[0]][0] < key[1]:
+            del self._acted[key[0]]
+
+    def look(
+        self, now: float, seen: Mapping[Key, Evidence], fleet: int, every: float,
+        accounts: Mapping[Key, Account] | None = None,
+    ) -> list[Act]:
+        """Judge all that are ready, of a fleet in which so many are wanted; what is to be done.
+
+        `accounts` are compared with each other. `every` is how long after the last look this one was due.
+        A process that is not in `seen` any more is not judged; one that is there for the first time begins well.
+        """
+        late = max(0.0, now - self._looked - every) if math.isfinite(self._looked) else 0.0
+        self._looked = now
+        for key in set(self.processes) - set(seen):
+            self.gone(key)
+        for key, evidence in seen.items():
+            self.ready(key)
+            self._weigh(now, key, evidence, late)
+        by_silence = sum(
+            one.judgement is not Judgement.WELL and one.cause in (Cause.HUNG, Cause.SPINNING)
+            for one in self.processes.values()
+        )
+        self._acted = {name: act for name, act in self._acted.items() if act[1] > now - ACTED_FOR}
+        distrusted = by_silence > max(1.0, self.policy.distrust * fleet)
+        acts: list[Act] = []
+        for key in seen:
+            acts += self._decide(now, key, fleet, distrusted)
+        return acts + self._set_aside(now, fleet, self.siblings.look(now, accounts or {}))
+
+    def _set_aside(self, now: float, fleet: int, found: Mapping[Key, Finding]) -> list[Act]:
+        """Those that live, and fare worse than their siblings. No more than a share at once: the others carry it."""
+        acts = []
+        for key, one in self.processes.items():
+            finding = found.get(key)
+            if one.aside is not None and finding is None:
+                one.aside = None
+                acts.append(Act(key, Do.RESTORE, "it fares like its siblings"))
+            elif one.aside is not None:
+                one.aside = finding  # it may be another by now
+            elif finding is not None and one.judgement is not Judgement.STALLED:
+                if sum(each.aside is not None for each in self.processes.values()) < self._most(fleet):
+                    one.aside = finding
+                    self.counts["unlike"] += 1
+                    acts.append(Act(key, Do.ASIDE, f"{finding.why.value}: {finding.text}"))
+                elif key not in self._held:
+                    self._held.add(key)
+                    self.counts["held_back"] += 1
+                    self._write(now, key, f"{finding.why.value}: {finding.text}; enough have been relieved")
+        for act in acts:
+            self._write(now, act.key, f"{act.do.value}: {act.why}")
+        return acts
+
+    def _most(self, fleet: int) -> int:
+        """How many may be acted upon at once."""
+        return max(1, math.floor(self.policy.share * fleet))
+
+    # ---- judging -------------------------------------------------------------------------
+
+    def _weigh(self, now: float, key: Key, evidence: Evidence, late: float) -> None:
+        one = self.processes.get(key)
+        if one is None:
+            one = self.processes[key] = Watched(self.policy.beat, self.policy.beat / 2.0, since=now)
+        if late > PAUSE:
+            # The observer was away: what it knew of is old, and so is a beat that came meanwhile. Who lives has a
+            # beat's time to show it.
+            one.turned, one.since, one.excused = max(one.turned, evidence.turned), now, 0.0
+            one.ran, one.starved, one.certain_since = evidence.ran, evidence.starved, math.inf
+        elif evidence.turned > one.turned:
+            one.beats(now, evidence)
+        elif evidence.progress != one.progress:
+            # It serves, though it does not beat: its silence begins anew, and teaches nothing about beats.
+            one.since, one.excused, one.certain_since = now, 0.0, math.inf
+            one.ran, one.starved = evidence.ran, evidence.starved
+        else:
+            one.excused += late
+        one.progress = evidence.progress
+        # A timer that is due lately has not been missed: silence begins where the last beat was, or was excused to.
+        silence = now - one.since - one.excused - (evidence.starved - one.starved)
+        one.phi = phi(max(0.0, silence), one.mean, one.deviation)
+        one.cause = self._cause(one, evidence, silence)
+        judgement = self._judge(now, one, evidence)
+        if judgement is not Judgement.WELL:
+            one.well_since = -math.inf
+        steady = judgement is not Judgement.WELL or one.turned - one.well_since >= self.policy.steady
+        if judgement is not one.judgement and steady:
+            self._note(now, key, one, judgement, silence)
+
+    def _cause(self, one: Watched, evidence: Evidence, silence: float) -> Cause:
+        if evidence.stopped:
+            return Cause.STOPPED
+        if one.phi < self.policy.suspect:
+            return Cause.DEAF if evidence.waits >= self.policy.unaccepted else Cause.NONE
+        if evidence.starved - one.starved > silence:
+            return Cause.STARVED
+        return Cause.SPINNING if evidence.ran - one.ran > 0.5 * silence else Cause.HUNG
+
+    def _judge(self, now: float, one: Watched, evidence: Evidence) -> Judgement:
+        policy = self.policy
+        if one.cause is Cause.STARVED or (one.cause is Cause.NONE and evidence.waits < policy.unaccepted):
+            one.certain_since = math.inf
+            return Judgement.WELL
+        if one.cause is Cause.DEAF:
+            one.certain_since = math.inf
+            return Judgement.SUSPECT
+        if one.cause is Cause.STOPPED and one.phi < policy.suspect:
+            return Judgement.WELL  # for a moment, as by a debugger or a terminal
+        if one.phi < policy.certain:
+            one.certain_since = math.inf
+            return Judgement.SUSPECT
+        # Its time counts from the last beat: what led to certainty is a part of it.
+        one.certain_since = min(one.certain_since, one.since + one.excused)
+        patience = {
+            Cause.STOPPED: policy.stopped_for, Cause.HUNG: policy.hung_for, Cause.SPINNING: policy.spinning_for,
+        }[one.cause]
+        return Judgement.STALLED if now - one.certain_since >= patience else Judgement.SUSPECT
+
+    def _note(self, now: float, key: Key, one: Watched, judgement: Judgement, silence: float) -> None:
+        before, one.judgement = one.judgement, judgement
+        if judgement is Judgement.SUSPECT and before is Judgement.WELL:
+            self.counts["suspected"] += 1
+        elif judgement is Judgement.WELL:
+            self.counts["recovered"] += 1
+        why = f", {one.cause.value}" if one.cause is not Cause.NONE else ""
+        self._write(now, key, f"{judgement.value}{why}: silent for {silence:.2f} s, phi {min(one.phi, 999.0):.1f}")
+
+    def _write(self, now: float, key: Key, text: str) -> None:
+        notes = self.notes.setdefault(key[0], deque(maxlen=KEPT))
+        notes.append((now, f"generation {key[1]}: {text}"))
+
+    # ---- acting --------------------------------------------------------------------------
+
+    def _decide(self, now: float, key: Key, fleet: int, distrusted: bool) -> list[Act]:
+        one = self.processes[key]
+        acts: list[Act] = []
+        why = f"{one.cause.value or 'late'}, phi {min(one.phi, 999.0):.0f}"
+        if one.judgement is Judgement.WELL:
+            if one.relieved:
+                one.relieved = False
+                acts.append(Act(key, Do.RETURN, "it beats again"))
+        elif not one.relieved:
+            one.relieved = True
+            acts.append(Act(key, Do.RELIEVE, why))
+        if one.judgement is Judgement.STALLED and not one.replaced and self._may(now, key, one, fleet, distrusted):
+            one.replaced = True
+            self._acted[key[0]] = key[1], now
+            self.counts["replaced"] += 1
+            acts.append(Act(key, Do.REPLACE, why))
+        for act in acts:
+            self._write(now, key, f"{act.do.value}: {act.why}")
+        return acts
+
+    def _may(self, now: float, key: Key, one: Watched, fleet: int, distrusted: bool) -> bool:
+        """Whether one more may be replaced now."""
+        held = ""
+        if distrusted and one.cause is not Cause.STOPPED:
+            held = "distrusted"
+        elif len(self._acted) >= self._most(fleet):
+            held = "held_back"
+        if held and key not in self._held:
+            self._held.add(key)
+            self.counts[held] += 1
+            text = "most look ill at once" if held == "distrusted" else "enough are being replaced"
+            self._write(now, key, f"not replaced yet: {text}")
+        return not held
+
+    # ---- what can be seen ----------------------------------------------------------------
+
+    def view(self, key: Key) -> dict[str, Any]:
+        """The judgement of one process with its evidence, as plain values."""
+        one = self.processes.get(key)
+        if one is None:
+            return {}
+        return {
+            "judgement": one.judgement.value, "cause": one.cause.value, "phi": round(min(one.phi, 999.0), 1),
+            "gap": round(one.mean, 4), "deviation": round(one.deviation, 4), "relieved": one.relieved,
+            "unlike": one.aside.why.value if one.aside is not None else "",
+            "because": one.aside.text if one.aside is not None else "", "portion": self.siblings.portion(key),
+        }
+
+    def explain(self, now: float, name: str) -> list[tuple[float, str]]:
+        """The last notes of a name: how many seconds ago, and what was seen or done."""
+        return [(round(now - at, 2), text) for at, text in self.notes.get(name, ())]
