--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -72,6 +72,15 @@
             self.evict_caller()
         return False
 
+    def room(self, count: int, callers: int = 0) -> bool:
+        """Whether so many more could be taken, so many of them for callers."""
+        return self.used + self.others() + count <= self.limit and self.callers + callers <= self.caller_limit
+
+    def adopt(self, caller: bool) -> None:
+        """Count one that was handed over and is here already."""
+        self.callers += caller
+        self._take()
+
     def give_caller(self) -> None:
         """Give back a caller's."""
         self.callers -= 1
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -4,7 +4,8 @@
 
 import asyncio
 import logging
-from typing import Any, Protocol, cast
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from cometusher.budget import BodyMemory, Descriptors
 from cometusher.http1 import (
@@ -23,6 +24,9 @@
 from cometusher.stream import KEPT, BodyStream
 from weldroute.operations import Posture
 
+if TYPE_CHECKING:
+    from cometusher.inhand.hand import Hand
+
 log = logging.getLogger(__name__)
 
 ACCEPTS = 64  # at one wake-up, so that accepting can't starve what is under way
@@ -88,8 +92,15 @@
         self._chunked = False  # the answer being passed on
         self._passing = False  # an answer has begun and goes on
         self._unread = 0  # bytes that wait to be taken by the caller, when last looked at
+        self._rest_lost = False  # of the request that is handed on a rest comes that nobody wants
         self.carried = False  # a whole request has come on it
         self.since = 0.0  # of the present state, for time limits
+        # What covers it, if anything does: see `cometusher.inhand`.
+        self.read = self.wrote = 0  # bytes
+        self.descriptor = self.slot = -1
+        self.name = 0
+        self.raw = b""  # the request that came last, if it came in one piece
+        self.up: Callable[[CallerConnection], None] | None = None  # to be done when it is up, before it is read
 
     # ---- the transport's calls -----------------------------------------------------------
 
@@ -98,9 +109,23 @@
         self._transport = transport
         self.since = self._callers.loop.time()
         self._callers.opened(self)
+        if self.up is not None:
+            up, self.up = self.up, None
+            up(self)
+
+    @property
+    def transport(self) -> asyncio.Transport | None:
+        """Its transport, while it is up."""
+        return self._transport
+
+    def _write(self, data: bytes) -> None:
+        self.wrote += len(data)
+        assert self._transport is not None
+        self._transport.write(data)
 
     def data_received(self, data: bytes) -> None:
         self._heard = self._callers.loop.time()
+        self.read += len(data)
         if self._closing:
             self._drop(len(data))
             return
@@ -109,6 +134,10 @@
             if self.carried:
                 self.since = self._heard
             self._callers.not_idle(self)
+            if self._callers.hand is not None:
+                self.raw = data
+        else:
+            self.raw = b""
         try:
             self._parser.feed(data)
         except Malformed as fault:
@@ -195,7 +224,7 @@
             if expect.lower() != b"100-continue":
                 raise Malformed(417, "unknown expectation")
             if self._transport is not None and request.length != 0:
-                self._transport.write(CONTINUE)
+                self._write(CONTINUE)
 
     def on_large(self, request: Request) -> None:
         if not self._callers.memory.take(KEPT - request.charged):
@@ -250,8 +279,7 @@
         headers = [(b"content-type", b"text/plain"), (b"content-length", b"%d" % len(body))]
         if fault.status == 405:
             headers.append((b"allow", b"GET, POST"))
-        assert self._transport is not None
-        self._transport.write(response_head(fault.status, headers, True) + body)
+        self._write(response_head(fault.status, headers, True) + body)
         self._linger()
 
     def _linger(self) -> None:
@@ -281,19 +309,21 @@
         else:
             close = True  # its end is the connection's
         self._closes = close
+        if self._callers.hand is not None:
+            self._callers.hand.passes(self)
         if self._transport is not None:
-            self._transport.write(response_head(status, headers, close))
+            self._write(response_head(status, headers, close))
 
     def pass_on(self, piece: bytes) -> None:
         """Write a piece of the answer that has begun."""
         if self._transport is not None and piece:
-            self._transport.write(chunk(piece) if self._chunked else piece)
+            self._write(chunk(piece) if self._chunked else piece)
 
     def end_answer(self) -> None:
         """The answer that has begun is whole."""
         self._passing = False
         if self._transport is not None and self._chunked:
-            self._transport.write(LAST_CHUNK)
+            self._write(LAST_CHUNK)
         self._answered(self._closes)
 
     def cut_answer(self) -> None:
@@ -301,15 +331,22 @@
         self._passing = False
         self._finish_request()
         self._closing = True
+        if self._callers.hand is not None:
+            self._callers.hand.leaves(self)
         if self._transport is not None:
             self._transport.abort()
 
-    def answer(self, status: int, headers: Headers, body: bytes | bytearray) -> None:
-        """Write the answer to the request that is handed on."""
+    def answer(self, status: int, headers: Headers, body: bytes | bytearray, noted: bool = False) -> None:
+        """Write the answer to the request that is handed on; `noted` if that is covered."""
         close = self._must_close()
         if self._transport is not None:
             headers.append((b"content-length", b"%d" % len(body)))
-            self._transport.write(response_head(status, headers, close) + body)
+            data = response_head(status, headers, close) + body
+            if noted and self._callers.hand is not None:
+                assert self._request is not None
+                self._callers.hand.answers(self, self._request, data, close)
+            self.wrote += len(data)
+            self._transport.write(data)
         self._answered(close)
 
     def turn_away(self, fault: Malformed) -> None:
@@ -336,17 +373,18 @@
 
     def _must_close(self) -> bool:
         assert self._request is not None
-        if self._parser.current is self._request:
+        if self._parser.current is self._request or self._rest_lost:
             return True  # the rest of a body that nobody wants any more
         return not self._request.keep_alive or self._callers.posture.closes or self._callers.crowded
 
     def _finish_request(self) -> None:
         self.release_body()
+        self.raw = b""
         self._taken = None
         self._request = None
 
     def _answered(self, close: bool) -> None:
-        unfinished = self._parser.current is self._request is not None
+        unfinished = self._parser.current is self._request is not None or self._rest_lost
         self._finish_request()
         self.since = self._callers.loop.time()
         if unfinished and self._transport is not None:
@@ -361,10 +399,45 @@
         elif self.idle:
             self._callers.now_idle(self)
 
+    # ---- taken over from another process -------------------------------------------------
+
+    def resume(self, request: Request, rest_lost: bool) -> None:
+        """A request that another process has read from this connection is in hand here."""
+        self.carried = True
+        self._rest_lost = rest_lost
+        self._callers.speaks(self)
+        self._request = request
+
+    def resumed(self, taken: Taken) -> None:
+        """It was handed on."""
+        if self._request is not None:
+            self._taken = taken
+
+    def give(self, rest: bytes, close: bool) -> None:
+        """Write what is left of an answer that another process has begun, if anything is."""
+        self.carried = True
+        if self._transport is None:
+            return
+        if rest:
+            self._write(rest)
+        if close:
+            self._closing = True
+            self._transport.close()
+        else:
+            self.rest()
+
+    def rest(self) -> None:
+        """It is between requests."""
+        self.carried = True
+        if self._transport is not None and self.idle:
+            self._callers.now_idle(self)
+
     # ---- ends ----------------------------------------------------------------------------
 
     def _leave(self) -> None:
         """Nothing more is owed to this caller."""
+        if self._callers.hand is not None:
+            self._callers.hand.leaves(self)
         taken, self._taken = self._taken, None
         self._closing = True
         self._passing = False
@@ -378,6 +451,8 @@
 
     def close(self) -> None:
         """Close a connection that owes no answer."""
+        if self._callers.hand is not None:
+            self._callers.hand.leaves(self)
         self._drop_partial()
         self._closing = True
         if self._transport is not None:
@@ -445,6 +520,7 @@
         self.memory = memory
         self.posture = Posture()
         self.crowded = False  # connections wait for a free descriptor
+        self.hand: Hand | None = None  # notes what is in hand, where that is switched on
         self.empty = asyncio.Event()
         self._draining = False
         self._descriptors = descriptors
@@ -525,9 +601,32 @@
         """A connection is up."""
         self._connections[connection] = None
         self._fresh[connection] = None
+        if self.hand is not None:
+            self.hand.opened(connection)
+
+    async def inherit(
+        self, connection: Any, read: int, wrote: int, slot: int, up: Callable[[CallerConnection], None]
+    ) -> bool:
+        """Take up a connection of another process, of which so much was read and written; False if it is gone.
+
+        Its descriptor is counted already. `up` is called as soon as it is up, before anything is read from it: what
+        is in hand on it must be known before its caller's next word.
+        """
+        protocol = CallerConnection(self)
+        protocol.read, protocol.wrote, protocol.slot, protocol.up = read, wrote, slot, up
+        try:
+            await self._network.attach(connection, lambda: protocol)
+        except OSError as fault:
+            log.info("a connection could not be taken over: %s", fault)
+            if protocol not in self._connections:
+                connection.close()
+                self._descriptors.give_caller()
+        return protocol.up is None
 
     def closed(self, connection: CallerConnection) -> None:
         """A connection is gone, and its descriptor with it."""
+        if self.hand is not None:
+            self.hand.closed(connection)
         self._idle.pop(connection, None)
         self._fresh.pop(connection, None)
         if connection in self._connections:
@@ -551,6 +650,8 @@
         elif connection.carried:
             self._fresh.pop(connection, None)
             self._idle[connection] = None
+            if self.hand is not None and connection.slot == -1:
+                self.hand.idle(connection)
 
     def now_ending(self, connection: CallerConnection) -> None:
         """It only lingers for its last answer to be read."""
--- a/cometusher/cli.py
+++ b/cometusher/cli.py
@@ -12,6 +12,7 @@
     "start": "become the supervisor and start the instances; with one running, start those named",
     "status": "show every instance: state, pid, restarts, last exit, memory, requests",
     "reload": "read the file again and bring the instances to it, a few at a time",
+    "explain": "what was seen of instances that stood still, and what was done, over the last minutes",
     "restart": "replace instances a few at a time; a fresh process is ready before the old one ends",
     "stop": "stop those named, or all and the supervisor",
 }
@@ -49,6 +50,11 @@
     simulate.add_argument("--keep", action="store_true", help="with --seeds: do not shrink")
     simulate.add_argument("--tries", type=int, default=400, metavar="N", help="runs that shrinking may take (400)")
     simulate.add_argument("--out", default="found", metavar="DIR", help="where shrunk scripts go (default: found)")
+    text = "a scenario with several real processes, faults between them, load, and rules checked from outside"
+    drill = _command(commands, "drill", text, "drill deploy/drills/machine-lost.toml --out drills")
+    drill.add_argument("file", metavar="FILE", help="the scenario")
+    drill.add_argument("--out", metavar="DIR", help="write NAME.html with plots over time, and NAME.json")
+    drill.add_argument("--json", action="store_true", help="print one line of JSON")
     fleet = _command(commands, "fleet", "run many instances under one supervisor", "fleet start -c deploy/fleet.toml")
     actions = fleet.add_subparsers(dest="action", required=True, metavar="ACTION")
     for name, text in FLEET.items():
@@ -65,14 +71,28 @@
 
 
 def _check(files: list[str]) -> int:
+    from cometusher.drill.scenario import read_scenario, schedule
     from cometusher.fleet.spec import read_spec
+    from cometusher.tables import read_file
 
     for name in files:
-        spec = read_spec(Path(name))
-        print(f"{name}: good; {len(spec.instances)} instances")
+        if read_file(Path(name)).has("drill"):
+            scenario = read_scenario(Path(name))
+            print(f"{name}: good; {len(scenario.fleets)} fleets, {len(schedule(scenario))} events")
+        else:
+            spec = read_spec(Path(name))
+            print(f"{name}: good; {len(spec.instances)} instances")
     return 0
 
 
+def _drill(options: argparse.Namespace) -> int:
+    try:
+        from cometusher.drill import run
+    except ModuleNotFoundError as fault:
+        raise ConfigError(f"drill: {fault}; it needs the whole checkout") from fault
+    return run.main(Path(options.file), Path(options.out) if options.out else None, options.json)
+
+
 def _demo(seconds: float) -> int:
     from cometusher import demo
 
@@ -108,6 +128,8 @@
             return _check(options.files)
         if options.command == "demo":
             return _demo(options.seconds)
+        if options.command == "drill":
+            return _drill(options)
         if options.command == "simulate":
             return _simulate(options)
         return _fleet(options)
--- /dev/null
+++ b/cometusher/comeback.py
@@ -0,0 +1,398 @@
+"""One proxy's return to service: what it kept goes in, what it learns is kept, and its door and paces obey.
+
+Decisions are `weldroute.comeback`'s and `weldroute.remember`'s; files are `cometusher.store`'s; why:
+`docs/design/comeback.md`. Imported only by an instance whose fleet has it switched on.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable, Sequence
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, Protocol
+
+import orjson
+
+from cometusher.config import ConfigError
+from cometusher.discovery import Entry, Unreadable, read_listing, server_id
+from cometusher.forms import standing, take_list, take_standing, write_list
+from cometusher.seam import moment
+from cometusher.store.keeper import Keeper
+from cometusher.store.records import Records
+from weldroute import ListKind, Outcome, Refuse, ServerRow, State
+from weldroute.comeback import FIRST_RETRIES, Comeback, Hearing, Plan, Verdict
+from weldroute.handover import Standing, Unusable, adopt_learned, read_standing, write_learned
+from weldroute.remember import TAKES, Known, Limits, Owner, Record, Trust, age, judge
+
+if TYPE_CHECKING:
+    from cometusher.backends import Attempt
+    from cometusher.http1 import Response
+    from cometusher.proxy import Exchange, Proxy
+
+log = logging.getLogger(__name__)
+
+KINDS = ("standing", "list", "learned")
+SAVE_EVERY = 1.0  # seconds between writings of what was learned
+LIST_EVERY = 5.0  # seconds between writings of a list that has not changed, for its age to be that of its truth...
+LIST_ROWS = 200.0  # ...and so many rows a second of it
+NAMES_ITSELF = b"x-backend"  # a backend may name itself in its answers
+
+Report = Callable[[dict[str, Any]], None]
+
+
+class Kept(Protocol):
+    """Where records are kept while the process runs."""
+
+    def put(self, kind: str, body: object) -> None:
+        """Have a form written soon."""
+
+    async def close(self) -> None:
+        """Write what is due, and let go."""
+
+
+@dataclass(frozen=True, slots=True)
+class Returning:
+    """All that one instance is told of its return."""
+
+    plan: Plan
+    limits: Limits
+    owner: Owner
+    store: Path
+    known: Known = field(default_factory=Known)
+    standing: dict[str, Any] | None = None  # the orders that the fleet knows of, where they are newer
+
+
+def read_returning(path: Path) -> Returning | None:
+    """The part of an instance's file that its supervisor wrote for it, if any; raises ConfigError."""
+    try:
+        values = orjson.loads(path.read_bytes()).get("comeback")
+        if values is None:
+            return None
+        plan, limits = Plan(**values["plan"]), Limits(**values["limits"])
+        plan.check()
+        limits.check()
+        owner, known = Owner(**values["owner"]), Known(**values["known"])
+        return Returning(plan, limits, owner, Path(values["store"]), known, values["standing"])
+    except (OSError, orjson.JSONDecodeError, AttributeError, KeyError, TypeError, ValueError) as fault:
+        raise ConfigError(f"{path}: comeback: {fault}") from None
+
+
+def write_returning(returning: Returning) -> dict[str, Any]:
+    """That part, for `read_returning`."""
+    return asdict(returning) | {"store": str(returning.store)}
+
+
+def open_store(returning: Returning) -> tuple[dict[str, Record], Kept]:
+    """What is kept on disk, and where to keep more."""
+    records = Records(returning.store)
+    found = records.read(KINDS)
+    if records.problem:
+        log.warning("the store %s: %s", returning.store.name, records.problem)
+    return found, Keeper(records, returning.owner, moment)
+
+
+class Return:
+    """The return of one proxy, from its start to its end."""
+
+    def __init__(self, proxy: Proxy, returning: Returning) -> None:
+        self._proxy = proxy
+        self._returning = returning
+        self._moment = proxy.network.moment
+        found, self._kept = proxy.network.keep(returning)
+        learned = found.get("learned")
+        calm = learned.body.get("calm") if learned is not None and isinstance(learned.body, dict) else None
+        calm = float(calm) if isinstance(calm, (int, float)) and not isinstance(calm, bool) else None
+        self.state = Comeback(proxy.loop.time(), returning.plan, proxy.config.seed, calm)
+        self.report: Report = lambda values: None
+        self._version = 0  # of the orders
+        self._save_at = self._list_at = 0.0
+        self._list_changed = False
+        self._waiting: dict[str, Callable[[], None]] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._pending: dict[str, Entry] | None = None  # a list of discovery's that is doubted; it may be empty
+        self._over = False
+        # Guards a tier that is coming back itself against what many saved up at once.
+        proxy.balancer.retry_tokens = FIRST_RETRIES
+        proxy.balancer.copy_tokens = 0.0
+        proxy.discovery.patience = returning.plan.patience
+        self._take_over(found)
+
+    # ---- what was kept -------------------------------------------------------------------
+
+    def _trust(self, kind: str, record: Record | None) -> Trust:
+        returning = self._returning
+        verdict, why = judge(record, returning.owner, self._moment(), returning.limits, returning.known)
+        level = logging.INFO if verdict in (Trust.FRESH, Trust.AGED, Trust.NOTHING) else logging.WARNING
+        log.log(level, "kept %s: %s: %s", kind, verdict.value, why, extra={"event": "remembered"})
+        return verdict
+
+    def _take_over(self, found: dict[str, Record]) -> None:
+        proxy = self._proxy
+        trust = {kind: self._trust(kind, found.get(kind)) for kind in KINDS}
+        if "list" in TAKES[trust["list"]]:
+            self._take_list(found["list"])
+        if not self.state.ready and proxy.backends.known():
+            self.state.found(proxy.loop.time(), len(proxy.backends.known()), None, proxy.discovery.seq)
+        if "learned" in TAKES[trust["learned"]]:
+            try:
+                known = adopt_learned(proxy.balancer, proxy.clock.now(), found["learned"].body)
+                log.info("took over what was learned of %d backends", known)
+            except Unusable as fault:
+                log.warning("what was learned is left aside: %s", fault)
+        self._take_orders(found.get("standing") if "standing" in TAKES[trust["standing"]] else None)
+
+    def _take_list(self, record: Record) -> None:
+        proxy = self._proxy
+        try:
+            listing = take_list(proxy, record.body)
+        except Unreadable as fault:
+            log.warning("the kept list is left aside: %s", fault)
+            return
+        passed = age(record, self._moment())
+        self.state.found(proxy.loop.time(), len(listing.entries), passed, listing.seq)
+
+    def _take_orders(self, record: Record | None) -> None:
+        """Of the instance's own and the fleet's copy, the higher version: an order is never forgotten silently."""
+        orders: Standing | None = None
+        mine = record.body if record is not None else None
+        for where, body in (("kept", mine), ("fleet's", self._returning.standing)):
+            if body is None:
+                continue
+            try:
+                read = read_standing(body)
+            except Unusable as fault:
+                log.warning("the %s orders are left aside: %s", where, fault)
+                continue
+            if orders is None or read.version > orders.version:
+                orders = read
+        if orders is not None:
+            self._version = orders.version
+            take_standing(self._proxy, orders)
+
+    # ---- what discovery tells ------------------------------------------------------------
+
+    def hears(self, kind: ListKind, entries: Sequence[Entry]) -> Sequence[Entry] | None:
+        """What to apply of what discovery tells; None for nothing of it now."""
+        if kind in (ListKind.BROKEN, ListKind.STALE):
+            return entries
+        proxy, now = self._proxy, self._proxy.loop.time()
+        whole = kind is ListKind.WHOLE
+        hearing = self.state.hears(now, whole, len(entries), proxy.discovery.seq)
+        self._list_changed = True
+        if whole:
+            self._pending = None if hearing is Hearing.TAKE else {entry.host: entry for entry in entries}
+        elif self._pending is not None:
+            self._pending.update((entry.host, entry) for entry in entries)
+        if hearing is Hearing.TAKE:
+            proxy.loop.call_soon(self.release)
+            return entries
+        return None if hearing is Hearing.WAIT else self._merge(entries)
+
+    def _merge(self, entries: Sequence[Entry]) -> list[Entry]:
+        """The remembered list with what is newer in a list of a lower version."""
+        proxy = self._proxy
+        servers = proxy.balancer.servers
+        told = {entry.row.server: entry for entry in entries}
+        merged = []
+        for item in read_listing(write_list(proxy), proxy.config.zones).entries:
+            other = told.get(item.row.server)
+            known = servers[item.row.server].row
+            merged.append(item if other is None or self.state.outlives(known, other.row) else other)
+        return merged
+
+    # ---- the door ------------------------------------------------------------------------
+
+    def admits(self, exchange: Exchange, kind: int, ask: Callable[[], None]) -> None:
+        """Let a request go on now (`ask`), later, or not at all."""
+        proxy, state = self._proxy, self.state
+        now = proxy.loop.time()
+        state.opened(now, proxy.backends.opened)
+        left = exchange.deadline - proxy.clock.now()
+        aim = proxy.config.settings.classes[kind].aim
+        verdict = state.admit(now, exchange.rid, now + left, aim, self._free())
+        if verdict is Verdict.PASS or self._over:
+            state.leave(exchange.rid)
+            ask()
+        elif verdict is Verdict.REFUSE:
+            self._refuse(exchange)
+        else:
+            self._waiting[exchange.rid] = ask
+            self._plan()
+
+    def kept(self) -> list[int] | None:
+        """The servers that first tries keep to now: those with an idle connection, while no new one may be opened."""
+        state = self.state
+        if not state.paced or state.pace.look(self._proxy.loop.time()) >= 1.0:
+            return None
+        return list(self._proxy.backends.idle_servers())
+
+    def _free(self) -> int:
+        if not self.state.paced:
+            return 0
+        balancer, count = self._proxy.balancer, 0
+        for server, idle in self._proxy.backends.idle_servers().items():
+            known = balancer.servers.get(server)
+            if known is not None and known.row.state is State.UP and server not in balancer.bans:
+                count += idle
+        return count
+
+    def _refuse(self, exchange: Exchange) -> None:
+        limits = self._proxy.config.settings.limits
+        after = min(self.state.retry_after(), limits.max_retry_after) if limits.retry_after else 0.0
+        exchange.why = "coming back"
+        self._proxy.turn_away(Refuse(exchange.rid, after))
+
+    def release(self) -> None:
+        """Let those go on whose turn has come."""
+        proxy, state = self._proxy, self.state
+        now = proxy.loop.time()
+        for request in state.overdue(now):
+            self._waiting.pop(str(request), None)
+            exchange = proxy.exchange(str(request))
+            if exchange is not None:
+                self._refuse(exchange)
+        while state.held:
+            state.opened(now, proxy.backends.opened)
+            turn = state.release(now, self._free())
+            if turn is None:
+                break
+            ask = self._waiting.pop(str(turn), None)
+            if ask is not None:
+                ask()
+        self._plan()
+
+    def _plan(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        now = self._proxy.loop.time()
+        due = self.state.due(now)
+        if due < float("inf"):
+            self._timer = self._proxy.loop.call_later(max(0.001, due - now), self.release)
+
+    def left(self, exchange: Exchange) -> None:
+        """A caller has gone away."""
+        if self._waiting.pop(exchange.rid, None) is not None:
+            self.state.leave(exchange.rid)
+
+    def late(self, exchange: Exchange) -> bool:
+        """A request's time is up; whether it has waited here, and is refused now.
+
+        Guards against timers that come late or in another order: what a caller gives may be a millisecond.
+        """
+        if self._waiting.pop(exchange.rid, None) is None:
+            return False
+        self.state.leave(exchange.rid)
+        self.state.refused(self._proxy.loop.time())
+        self._refuse(exchange)
+        return True
+
+    # ---- attempts ------------------------------------------------------------------------
+
+    def ended(self, attempt: Attempt, how: Outcome, response: Response | None) -> Outcome:
+        """An attempt has ended; as what it counts.
+
+        Guards against answers of another than was meant: a remembered address may be somebody else's by now.
+        """
+        proxy, state = self._proxy, self.state
+        state.opened(proxy.loop.time(), proxy.backends.opened)
+        if not state.told:
+            if how is Outcome.OK and response is not None and self._other(attempt.server, response):
+                self._drop(attempt.server, "answers as another")
+                how = Outcome.BROKEN
+            elif how is Outcome.UNREACHABLE:
+                self._drop(attempt.server, "refuses connections")
+            elif how is Outcome.REJECTED:
+                self._drop(attempt.server, "knows no such requests")
+        if how is Outcome.OK:
+            state.served(proxy.loop.time())
+        if state.held:
+            proxy.loop.call_soon(self.release)
+        return how
+
+    @staticmethod
+    def _other(server: int, response: Response) -> bool:
+        named = next((value for name, value in response.headers if name == NAMES_ITSELF), None)
+        return named is not None and server_id(named.decode("latin-1")) != server
+
+    def _drop(self, server: int, how: str) -> None:
+        known = self._proxy.balancer.servers.get(server)
+        if known is None or known.row.state is State.GONE or not self.state.doubts(server, how):
+            return
+        host = next((host for host, number in self._proxy.names.items() if number == server), "")
+        row = ServerRow(server, State.GONE, known.row.zone, known.row.cell, started=known.row.started)
+        dial = self._proxy.backends.dial(server)
+        if dial is not None:
+            # Not within the event that told of it: the module is still at that.
+            self._proxy.loop.call_soon(self._proxy.listed_as, ListKind.PATCH, [Entry(row, dial, host)])
+
+    # ---- time ----------------------------------------------------------------------------
+
+    def look(self) -> None:
+        """Called often: phases, and what is to be kept."""
+        proxy, state = self._proxy, self.state
+        now = proxy.loop.time()
+        state.opened(now, proxy.backends.opened)
+        if state.tick(now):
+            log.warning("the remembered list is over, and discovery is silent")
+            proxy.listed_as(ListKind.STALE, [])
+        if self._pending is not None and state.believes(now, len(self._pending)):
+            pending, self._pending = list(self._pending.values()), None
+            proxy.listed_as(ListKind.WHOLE, pending)
+        self._say()
+        if state.held:
+            self.release()
+        if state.told and not self._over:
+            self._save(now)
+
+    def _say(self) -> None:
+        steps = self.state.take_steps()
+        for step in steps:
+            log.info("coming back: %s: %s", step.event, step.text, extra={"event": "comeback"})
+        if steps:
+            self.report(self.figures())
+
+    def _save(self, now: float) -> None:
+        proxy = self._proxy
+        if now >= self._save_at:
+            self._save_at = now + SAVE_EVERY
+            learned = write_learned(proxy.balancer, proxy.clock.now())
+            self._kept.put("learned", learned | {"calm": self.state.calm})
+        # Guards against a list that seems younger than its truth: it is written again only while discovery speaks.
+        if self._list_changed or (now >= self._list_at and proxy.discovery.live):
+            self._list_changed = False
+            form = write_list(proxy)
+            self._list_at = now + max(LIST_EVERY, len(form["hosts"]) / LIST_ROWS)
+            self._kept.put("list", form)
+
+    def ordered(self) -> None:
+        """Operators have ordered something: it is to outlive this process, here and with the fleet."""
+        self._version += 1
+        orders = standing(self._proxy, self._version).write()
+        self._kept.put("standing", orders)
+        self.report(self.figures() | {"standing": orders})
+
+    def figures(self) -> dict[str, Any]:
+        """The return, for the supervisor."""
+        return {**self.state.figures(), "seq": self._proxy.discovery.seq if self.state.told else 0}
+
+    @property
+    def ready(self) -> bool:
+        """Whether anything can be served."""
+        return self.state.ready
+
+    def stops(self) -> None:
+        """Nothing waits any longer: the process is about to end."""
+        self._over = True
+        waiting, self._waiting = list(self._waiting.items()), {}
+        for rid, ask in waiting:
+            self.state.leave(rid)
+            ask()
+
+    async def close(self) -> None:
+        """Keep what is due."""
+        if self._timer is not None:
+            self._timer.cancel()
+        await self._kept.close()
--- a/cometusher/config.py
+++ b/cometusher/config.py
@@ -6,13 +6,17 @@
 from collections.abc import Mapping
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
 from weldroute import Settings
 from weldroute.settings import read_settings
 
+if TYPE_CHECKING:
+    from cometusher.comeback import Returning
+    from cometusher.inhand.door import Covered
+
 Address = tuple[str, int]
 
 
@@ -36,6 +40,8 @@
     management: Address | None = None  # where operators call
     accept_fd: int | None = None  # the listener that this process was started with
     shared: str | None = None  # a folder that processes of this proxy share, where one takes over from another
+    returning: Returning | None = None  # how to come back, where a supervisor has it switched on
+    covered: Covered | None = None  # where work in hand is noted, likewise
 
 
 def read_address(text: Any, name: str) -> Address:
--- a/cometusher/demo.py
+++ b/cometusher/demo.py
@@ -32,6 +32,7 @@
 TENANTS = ("univ-central", "poly-east", "school-net")
 KINDS = (Kind("report-view", 0.63, 2.0, False), Kind("submit", 0.37, 1.25, True))
 WORK = {"report-view": 0.08, "submit": 0.05}  # seconds of a yardstick core in each tier
+COLD_FROM, COLD_FOR = 0.14, 20.0  # part of what it can do that a fresh backend begins with; seconds until it is warm
 WINDOW = 4.0  # seconds in which the backends of a zone recognise a key
 RATE = 25.0  # requests a second
 EVERY = 2.0  # seconds between lines of figures
@@ -53,7 +54,7 @@
         "Ordinal": zone,
         "Bounds": {"Cancel": True, "SecondCopies": True, "MaxAttempts": 3, "DialTimeout": 0.5, "ConnIdle": 5.0,
                    "RetryAfter": True, "MaxRetryAfter": 2.0},
-        "Rules": {"Cold": 20.0, "ColdFrom": 0.14, "AskEvery": 10.0},
+        "Rules": {"Cold": COLD_FOR, "ColdFrom": COLD_FROM, "AskEvery": 10.0},
     }
 
 
--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -148,6 +148,7 @@
         self._pushed = pushed
         self._rng = rng
         self._changed = changed
+        self.patience = BACKOFF_TO  # seconds between tries, at most
         self._told = False  # the present watch has brought a list
         self.heard = asyncio.Event()  # a first list has come, or the first try at one has failed
         self._task: asyncio.Task[None] | None = None
@@ -157,6 +158,11 @@
         """The version of the list that was told last."""
         return self._seq
 
+    @property
+    def live(self) -> bool:
+        """A watch is up and has brought a list: what is known is discovery's own view."""
+        return self._told and self._task is not None and not self._task.done()
+
     def resume(self, seq: int) -> None:
         """Go on from a version that another process was told; before the start."""
         self._seq = seq
@@ -208,7 +214,7 @@
                 backoff = BACKOFF_FROM
             # Jittered: all proxies lost the same service at the same time.
             await asyncio.sleep(backoff * (0.5 + self._rng.random()))
-            backoff = min(2.0 * backoff, BACKOFF_TO)
+            backoff = min(2.0 * backoff, self.patience)
 
     async def _attempt(self, first_wait: float) -> None:
         """One watch until it ends, whatever ends it."""
--- /dev/null
+++ b/cometusher/drill/scenario.py
@@ -0,0 +1,185 @@
+"""A drill's file, read and checked whole, and the schedule of faults that its seed makes of it."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+from cometusher.tables import Table, read_file
+
+#: What can be done, and to what.
+DEEDS = {
+    "kill": "instances", "stop": "instances", "continue": "instances", "lose": "fleets", "kill-supervisor": "fleets",
+    "start": "fleets", "lose-store": "fleets", "damage-store": "fleets", "copy-store": "fleets",
+    "put-back-store": "fleets", "clock-back": "fleets", "clock-forth": "fleets", "replace-backends": "backends",
+    "slow-backends": "backends", "ban": "backends", "unban": "backends", "discovery-away": "discovery",
+    "discovery-back": "discovery", "discovery-empty": "discovery", "discovery-older": "discovery", "load": "load",
+    "link": "links",
+}
+LINKS = ("caller", "backend", "discovery", "control")
+OWN = ("own", "own-discovery")  # of instances that have links of their own: to backends, to discovery
+MOODS = ("pass", "drop", "mute", "reset", "refuse", "half", "slow", "narrow", "cut")
+FIGURES = (
+    "full_s", "back_s", "first_s", "sent", "served", "refused", "failed", "lost", "unreachable", "unserved", "peak",
+    "calls", "stale", "twice", "wrong", "cold", "p99_s", "events", "second", "inherited", "orphaned",
+    "replaced", "aside",
+)
+
+
+@dataclass(frozen=True, slots=True)
+class FleetPart:
+    """One supervisor and its instances."""
+
+    name: str
+    tier: int
+    instances: int
+    comeback: bool
+    takeover: bool
+    vigil: bool = False
+    own: int = 0  # instances, the first of them, that have links of their own
+
+
+@dataclass(frozen=True, slots=True)
+class Fault:
+    """Something that is done at a moment."""
+
+    at: float  # seconds after the calm begins
+    about: float  # ...and up to so many later, drawn from the seed
+    deed: str
+    fleet: str  # empty: all
+    share: float
+    lasts: float  # seconds until it is undone; 0: it is not
+    link: str
+    mood: str
+    way: str
+    value: float  # of the mood, or the work, or the rate
+
+
+@dataclass(frozen=True, slots=True)
+class Expect:
+    """A bound on a figure."""
+
+    figure: str
+    least: float
+    most: float
+
+
+@dataclass(frozen=True, slots=True)
+class Scenario:
+    """A whole file."""
+
+    name: str
+    seed: int
+    calm: float  # seconds before the first fault can be
+    seconds: float  # after it
+    fleets: tuple[FleetPart, ...]
+    backends: int
+    work: float  # seconds...
+    longest: float  # ...or between them and these; 0: all alike
+    rate: float  # requests a second over all
+    strict: bool  # all classes, and nothing is sent again by callers
+    links: tuple[str, ...]  # those that a fault needs: only they go through a relay
+    faults: tuple[Fault, ...]
+    expects: tuple[Expect, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """A fault at its moment, with what chance it has of its own."""
+
+    at: float
+    fault: Fault
+    seed: int
+    undo: bool = False
+
+
+def schedule(scenario: Scenario) -> list[Event]:
+    """All that will be done, in order: the same for the same seed, whatever the machine does."""
+    rng = Random(scenario.seed)
+    events = []
+    for fault in scenario.faults:
+        at, seed = fault.at + fault.about * rng.random(), rng.getrandbits(32)
+        events.append(Event(at, fault, seed))
+        if fault.lasts > 0.0:
+            events.append(Event(at + fault.lasts, fault, seed, undo=True))
+    return sorted(events, key=lambda event: event.at)
+
+
+def pick(event: Event, names: Sequence[str]) -> list[str]:
+    """The part of these that an event is about."""
+    count = max(1, round(event.fault.share * len(names)))
+    return Random(event.seed).sample(list(names), min(count, len(names)))
+
+
+def _read_fleet(table: Table) -> FleetPart:
+    part = FleetPart(
+        table.text("name"), table.whole("tier", 0, 0, 2), table.whole("instances", 8, 1, 200),
+        table.choice("comeback", "on", ("on", "off")) == "on",
+        table.choice("takeover", "off", ("on", "off")) == "on",
+        table.choice("vigil", "off", ("on", "off")) == "on",
+        table.whole("own", 0, 0, 20),
+    )
+    table.done()
+    return part
+
+
+def _read_fault(table: Table, fleets: Sequence[FleetPart]) -> Fault:
+    deed = table.choice("do", None, tuple(DEEDS))
+    fleet = table.text("fleet", "") if table.has("fleet") else ""
+    if fleet and fleet not in [part.name for part in fleets]:
+        raise table.fault("fleet", f"{fleet!r} is not one of the fleets")
+    link = table.choice("link", "", LINKS + OWN) if table.has("link") else ""
+    if link in OWN and not any(part.own for part in fleets):
+        raise table.fault("link", f"{link!r} wants a fleet with `own`")
+    if (deed == "link") is not bool(link):
+        raise table.fault("link", "belongs to `do = \"link\"`, and only there")
+    fault = Fault(
+        at=table.number("at", 0.0, 0.0, 3600.0), about=table.number("about", 0.0, 0.0, 3600.0), deed=deed,
+        fleet=fleet, share=table.number("share", 1.0, 0.0, 1.0), lasts=table.number("lasts", 0.0, 0.0, 3600.0),
+        link=link, mood=table.choice("mood", "pass", MOODS), way=table.choice("way", "down", ("up", "down")),
+        value=table.number("value", 0.0),
+    )
+    table.done()
+    return fault
+
+
+def _read_expect(table: Table) -> Expect:
+    figure = table.choice("figure", None, FIGURES)
+    expect = Expect(figure, table.number("least", -1.0, -1.0), table.number("most", 1e9))
+    table.done()
+    return expect
+
+
+def read_scenario(path: Path) -> Scenario:
+    """Read a drill's file; raises ConfigError naming file, line and key."""
+    return build_scenario(path, read_file(path))
+
+
+def build_scenario(path: Path, root: Table) -> Scenario:
+    """A scenario out of its file's values; raises ConfigError naming file, line and key."""
+    head = root.table("drill")
+    name, seed = head.text("name", path.stem), head.whole("seed", 1)
+    calm, seconds = head.number("calm", 4.0, 0.5, 600.0), head.number("seconds", 8.0, 0.5, 3600.0)
+    head.done()
+    fleets = tuple(_read_fleet(table) for table in root.tables("fleet"))
+    if not fleets:
+        raise root.fault("fleet", "there is none")
+    if len({part.name for part in fleets}) < len(fleets):
+        raise root.fault("fleet", "a name is there twice")
+    table = root.table("backends")
+    backends, work = table.whole("count", 16, 1, 500), table.number("work", 0.03, 0.0, 60.0)
+    longest = table.number("longest", 0.0, 0.0, 60.0)
+    table.done()
+    table = root.table("load")
+    rate = table.number("rate", 100.0, 0.1, 5000.0)
+    strict = table.choice("callers", "mend", ("mend", "strict")) == "strict"
+    table.done()
+    faults = tuple(_read_fault(table, fleets) for table in root.tables("fault"))
+    expects = tuple(_read_expect(table) for table in root.tables("expect"))
+    root.done()
+    links = tuple(link for link in LINKS if any(fault.link == link for fault in faults))
+    return Scenario(
+        name, seed, calm, seconds, fleets, backends, work, longest, rate, strict, links, faults, expects
+    )
--- a/cometusher/fleet/commands.py
+++ b/cometusher/fleet/commands.py
@@ -7,6 +7,7 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +17,7 @@
 from cometusher.fleet.identity import Identity
 from cometusher.fleet.spec import FleetSpec, Place, read_place, read_spec
 from weldroute.fleet import Done
+from weldroute.herd import PHASES
 
 ANSWER = 10.0  # seconds for an answer that needs no work
 LONGEST = 3600.0  # seconds for an operation on the whole fleet
@@ -38,7 +40,9 @@
     path = Path(options.config)
     if options.action == "start":
         return _start(read_spec(path), options)
-    actions: dict[str, Callable[[Place, argparse.Namespace], int]] = {"status": _status, "stop": _stop}
+    actions: dict[str, Callable[[Place, argparse.Namespace], int]] = {
+        "status": partial(_view, show=_show_status), "explain": partial(_view, show=_show_notes), "stop": _stop,
+    }
     return actions.get(options.action, _operate)(read_place(path), options)
 
 
@@ -105,14 +109,27 @@
     return 0
 
 
-def _status(place: Place, options: argparse.Namespace) -> int:
-    answer = _asked(place, "status", ANSWER, options)
+def _view(place: Place, options: argparse.Namespace, show: Callable[[dict[str, Any]], None]) -> int:
+    """What the supervisor answers to the action's own name, as JSON or for people."""
+    answer = _asked(place, options.action, ANSWER, options)
     if answer is None:
         return 1
-    if options.json:
-        _print(answer)
-        return 0
+    _print(answer) if options.json else show(answer)
+    return 0
+
+
+def _show_status(answer: dict[str, Any]) -> None:
     print(f"{answer['fleet']}: supervisor {answer['pid']}", *answer["operations"], sep="\n  ")
+    for event in answer.get("comeback", [])[-1:]:
+        reached = ", ".join(f"{name} {event[name]:.2f} s" for name in PHASES if event[name] is not None)
+        print(f"  event {event['event']}, {event['ago']:.0f} s ago: {event['ended']} of {event['of']}, "
+              f"{event['cause']}: {reached or 'nothing yet'}")
+    estate = answer.get("takeover")
+    if estate:
+        print("  work in hand: " + ", ".join(f"{name.replace('_', ' ')} {count}" for name, count in estate.items()))
+    watch = answer.get("vigil")
+    if watch:
+        print("  watch: " + ", ".join(f"{name.replace('_', ' ')} {count}" for name, count in watch.items()))
     columns = "{:<20} {:<9} {:>7} {:>8} {:>8}  {:<24} {:<12} {:>7} {:>5} {:>9}"
     print(columns.format(
         "name", "state", "pid", "since", "restarts", "last exit", "version", "MB", "fds", "requests"
@@ -124,9 +141,20 @@
             row["last_exit"] or "-", row["version"] or "-", f"{row['memory'] / 2**20:.1f}", row["descriptors"],
             requests,
         ))
+        seen = row.get("vigil", {})
+        if seen and seen["judgement"] != "well":
+            print(f"  {seen['judgement']}: {seen['cause'] or 'late'}, phi {seen['phi']}")
+        if seen.get("unlike"):
+            print(f"  {seen['unlike']}: {seen['because']}; {100.0 * seen['portion']:.0f}% of its new connections")
         if row["state"] in ("failed", "waiting") and row["reason"]:
             print(f"  {row['reason']}")
-    return 0
+
+
+def _show_notes(answer: dict[str, Any]) -> None:
+    for name, notes in answer["notes"].items():
+        print(f"{name}: " + ("nothing to tell" if not notes else ""))
+        for ago, text in notes:
+            print(f"  {ago:8.2f} s ago  {text}")
 
 
 def _stop(place: Place, options: argparse.Namespace) -> int:
--- a/cometusher/fleet/control.py
+++ b/cometusher/fleet/control.py
@@ -125,7 +125,8 @@
         sock.settimeout(timeout)
         try:
             sock.connect(str(path))
-            sock.sendall(orjson.dumps({"version": VERSION, "command": command} | values) + b"\n")
+            with contextlib.suppress(BrokenPipeError):  # refused at once: why has been said, and is there to be read
+                sock.sendall(orjson.dumps({"version": VERSION, "command": command} | values) + b"\n")
             with sock.makefile("rb") as stream:
                 line = stream.readline()
         except TimeoutError:
--- /dev/null
+++ b/cometusher/fleet/evidence.py
@@ -0,0 +1,91 @@
+"""What the watch saw, kept in a file, and judged again with other thresholds.
+
+One line of JSON a look: the moment, how long after the last look it was due, how many instances are wanted, and for
+each process its name, generation and evidence. The file is bounded: what no longer fits is not kept, and that is said
+once. The decisions are sans-I/O, so what they would have done with other thresholds is exactly what they do with the
+same evidence; what followed from an act (a process that was replaced) is not in it.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterator, Mapping
+from dataclasses import astuple, dataclass
+from pathlib import Path
+
+import orjson
+
+from weldroute.siblings import Key
+from weldroute.vigil import Act, Evidence, Vigil, VigilPolicy
+
+log = logging.getLogger(__name__)
+
+LINES = 64  # that are written at once
+
+
+@dataclass(frozen=True, slots=True)
+class Look:
+    """All that one look saw."""
+
+    at: float  # seconds of the machine's clock
+    every: float
+    wanted: int
+    seen: Mapping[Key, Evidence]
+
+
+class Recorder:
+    """Keeps looks, as far as there is room."""
+
+    def __init__(self, path: Path, most: int) -> None:
+        self._path = path
+        self._left = most  # bytes
+        self._lines: list[bytes] = []
+        path.write_bytes(b"")
+
+    def keep(self, look: Look) -> None:
+        """One more."""
+        if self._left <= 0:
+            return
+        rows = [[*key, *astuple(evidence)] for key, evidence in look.seen.items()]
+        self._lines.append(orjson.dumps([look.at, look.every, look.wanted, rows]) + b"\n")
+        if len(self._lines) >= LINES:
+            self.flush()
+
+    def flush(self) -> None:
+        """Write what is due."""
+        data, self._lines = b"".join(self._lines), []
+        if len(data) > self._left:
+            self._left = 0
+            log.warning("%s is full: no more evidence is kept", self._path)
+            return
+        self._left -= len(data)
+        try:
+            with self._path.open("ab") as file:
+                file.write(data)
+        except OSError as fault:
+            self._left = 0
+            log.warning("no more evidence is kept: %s: %s", self._path, fault.strerror)
+
+
+def read_evidence(path: Path) -> Iterator[Look]:
+    """The looks of a file, in their order; one that was cut ends it.
+
+    Raises OSError, and ValueError naming the line.
+    """
+    for number, line in enumerate(path.read_bytes().splitlines(keepends=True), 1):
+        if not line.endswith(b"\n"):
+            return
+        try:
+            at, every, wanted, rows = orjson.loads(line)
+            seen = {(str(name), int(generation)): Evidence(*rest) for name, generation, *rest in rows}
+            yield Look(float(at), float(every), int(wanted), seen)
+        except (orjson.JSONDecodeError, TypeError, ValueError) as fault:
+            raise ValueError(f"{path}:{number}: {fault}") from None
+
+
+def judge_again(looks: Iterator[Look], policy: VigilPolicy) -> Iterator[tuple[float, Act]]:
+    """What would be done, and when, with these thresholds."""
+    vigil = Vigil(policy)
+    for look in looks:
+        for act in vigil.look(look.at, look.seen, look.wanted, look.every):
+            yield look.at, act
--- a/cometusher/fleet/identity.py
+++ b/cometusher/fleet/identity.py
@@ -40,6 +40,7 @@
     group: int
     cpu: float  # seconds of processor time
     started: int  # ticks since boot
+    threads: int  # that have not ended; 1 for a zombie of which nothing is left
 
 
 def read_stat(pid: int) -> Stat | None:
@@ -49,7 +50,8 @@
     except OSError:
         return None
     rest = text[text.rindex(")") + 2 :].split()  # the name may hold anything, also brackets and spaces
-    return Stat(rest[0], int(rest[1]), int(rest[2]), (int(rest[11]) + int(rest[12])) / TICKS, int(rest[19]))
+    cpu = (int(rest[11]) + int(rest[12])) / TICKS
+    return Stat(rest[0], int(rest[1]), int(rest[2]), cpu, int(rest[19]), int(rest[17]))
 
 
 @dataclass(frozen=True, slots=True)
@@ -87,9 +89,15 @@
         return asdict(self)
 
     def alive(self) -> bool:
-        """Whether this very process is there, and no zombie."""
+        """Whether this very process is there, and no zombie.
+
+        The state is that of its first thread. While another one is still ending, as a killed one does that waits for
+        a disk, the process holds its descriptors, listeners among them, though it looks like a zombie.
+        """
         stat = read_stat(self.pid)
-        return stat is not None and stat.state not in "ZX" and Identity.of(self.pid) == self
+        if stat is None or (stat.state in "ZX" and stat.threads <= 1):
+            return False
+        return Identity.of(self.pid) == self
 
     def signal(self, number: int) -> bool:
         """Signal this very process or nobody; tells whether it was there.
--- a/cometusher/fleet/instance.py
+++ b/cometusher/fleet/instance.py
@@ -2,8 +2,9 @@
 
 The descriptors have fixed numbers: 3 the listener (as LISTEN_FDS has it), 4 the status pipe to write to, 5 the
 lifeline to read from. The status pipe carries JSON lines: `{"event":"ready"}`, `{"event":"beat",...}` every
-second, `{"event":"reloaded","why":null}`, `{"event":"stopping"}`. The lifeline carries nothing: it ends when the
-supervisor does, however it does, and an instance then ends in order, as on SIGTERM.
+second, `{"event":"reloaded","why":null}`, `{"event":"stopping"}`; what further subsystems tell are events of theirs.
+The lifeline carries nothing: it ends when the supervisor does, however it does, and an instance then ends in order,
+as on SIGTERM.
 """
 
 from __future__ import annotations
@@ -15,14 +16,20 @@
 import socket
 import sys
 from collections import deque
-from typing import Any
+from dataclasses import replace
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
 
 import orjson
 import uvloop
 
 from cometusher import config, logs, service
+from cometusher.config import Config
 from cometusher.proxy import Proxy
 
+if TYPE_CHECKING:
+    from cometusher.inhand.hand import Received
+
 LISTENER, STATUS, LIFELINE = 3, 4, 5
 BEAT = 1.0  # seconds between signs of life
 MOST_WAITING = 64  # lines that wait for room in the pipe
@@ -61,13 +68,36 @@
 
         loop.add_reader(LIFELINE, orphaned)
         self._say(event="ready")
+        if proxy.comeback is not None:
+            proxy.comeback.report = self._tell_comeback
+            self._tell_comeback(proxy.comeback.figures())
+        if proxy.hand is not None:
+            proxy.hand.tell = self._tell_declined
+        if os.environ.get("FLEET_VIGIL") == "1":
+            self._turn(proxy)
         self._beat(loop)
 
+    @staticmethod
+    def _turn(proxy: Proxy) -> None:
+        """Beat on the supervisor's board, as its file for this process says."""
+        from cometusher.fleet.pulse import turn
+
+        told = orjson.loads(Path(os.environ["LB_CONFIG"]).read_bytes())["vigil"]
+        turn(proxy, int(told["row"]), float(told["beat"]))
+
+    def _tell_declined(self, offer: Received) -> None:
+        self._say(event="declined", process=offer.process, slot=offer.slot, term=offer.term)
+
+    def _tell_comeback(self, values: dict[str, Any]) -> None:
+        self._say(event="comeback", **values)
+
     def _beat(self, loop: asyncio.AbstractEventLoop) -> None:
         loop.call_later(BEAT, self._beat, loop)
         assert self._proxy is not None
         tallies = self._proxy.tallies
-        self._say(event="beat", open=self._proxy.open_requests, **{name: tallies.get(name, 0) for name in COUNTED})
+        hand = {"hand": self._proxy.hand.figures()} if self._proxy.hand is not None else {}
+        counts = {name: tallies.get(name, 0) for name in COUNTED}
+        self._say(event="beat", open=self._proxy.open_requests, **counts, **hand)
 
     def reloaded(self, why: str | None) -> None:
         """What came of a reload."""
@@ -78,6 +108,31 @@
         self._say(event="stopping")
 
 
+def _with_more(settings: Config) -> Config:
+    """What the supervisor has told of this instance's return and of its book, if switched on; raises ConfigError."""
+    path = Path(os.environ["LB_CONFIG"])
+    if os.environ.get("FLEET_COMEBACK") == "1":
+        from cometusher.comeback import read_returning
+
+        settings = replace(settings, returning=read_returning(path))
+    if os.environ.get("FLEET_TAKEOVER") == "1":
+        from cometusher.inhand.door import read_covered
+
+        settings = replace(settings, covered=read_covered(path))
+    return settings
+
+
+def _be_kept() -> None:
+    """Have a keeper, before there is a second thread. Without one, what is in hand dies with this process."""
+    from cometusher.inhand import keeper
+    from cometusher.inhand.door import KEEPER
+
+    try:
+        keeper.start(KEEPER)
+    except OSError as fault:
+        logging.warning("no keeper, and nothing in hand is covered: %s", fault)
+
+
 def main() -> int:
     """One proxy under a supervisor; returns the exit code."""
     # Guards against ending on a reload that comes before there is anything to reload.
@@ -85,10 +140,12 @@
     name = os.environ.get("FLEET_INSTANCE", "?")
     logs.to_pipe(sys.stderr.fileno(), name)
     try:
-        settings = config.load(os.environ)
+        settings = _with_more(config.load(os.environ))
     except config.ConfigError as fault:
         logging.error("%s", fault)
         return 2
+    if settings.covered is not None:
+        _be_kept()
     listener = socket.socket(fileno=LISTENER)
     uvloop.run(service.serve(settings, listener, Channel(name, os.environ.get("FLEET_GENERATION", "0"))))
     return 0
--- a/cometusher/fleet/listeners.py
+++ b/cometusher/fleet/listeners.py
@@ -103,6 +103,10 @@
                 raise Taken(f"{name}: {address[0]}:{address[1]} is {text}{who}") from None
         return self._open[name]
 
+    def find(self, name: str) -> socket.socket | None:
+        """An instance's listener, if it is open here."""
+        return self._open.get(name)
+
     def release(self, name: str) -> None:
         """Close an instance's listener here; copies that processes hold stay open."""
         listener = self._open.pop(name, None)
--- /dev/null
+++ b/cometusher/fleet/memory.py
@@ -0,0 +1,131 @@
+"""What the supervisor remembers of its fleet beyond its own life: the epoch, who was wanted, who failed, the orders.
+
+Written whole at each change, at a bounded rate. By the supervisor's one thread: a second would not survive its forks,
+and no request waits for it. Reading and writing never fail a start; `weldroute.remember` says what is believed.
+"""
+
+from __future__ import annotations
+
+import logging
+from dataclasses import dataclass, field
+from typing import Any
+
+from cometusher.fleet.spec import FleetSpec
+from cometusher.seam import moment
+from cometusher.store.records import Records
+from weldroute.fleet import Fleet
+from weldroute.handover import Unusable, read_standing
+from weldroute.remember import Known, Limits, Owner, Record, Trust, judge
+
+log = logging.getLogger(__name__)
+
+KIND = "fleet"
+
+
+@dataclass(slots=True)
+class Past:
+    """What an earlier supervisor left; empty where it ended in order, or left nothing."""
+
+    unclean: bool = False
+    wanted: dict[str, bool] = field(default_factory=dict)
+    failed: dict[str, str] = field(default_factory=dict)  # and why
+    restarts: dict[str, int] = field(default_factory=dict)
+    generations: dict[str, int] = field(default_factory=dict)
+
+
+def _counts(value: Any) -> dict[str, int]:
+    rows = value.items() if isinstance(value, dict) else ()
+    return {str(k): v for k, v in rows if isinstance(v, int) and not isinstance(v, bool) and v >= 0}
+
+
+class Memory:
+    """The fleet's own record."""
+
+    def __init__(self, spec: FleetSpec) -> None:
+        self._name = spec.place.name
+        self._records = Records(spec.place.fleet_records)
+        self.epoch = 1
+        self.list_seq = 0
+        self.orders: dict[str, dict[str, Any]] = {}  # standing forms by instance
+        self.past = Past()
+        self._said = ""
+        try:
+            spec.place.store.mkdir(mode=0o700, exist_ok=True)
+        except OSError as fault:
+            log.warning("no store: %s", fault.strerror)
+        self._read()
+
+    def _read(self) -> None:
+        record = self._records.read([KIND]).get(KIND)
+        self._tell()
+        if record is None:
+            return
+        # Of any age: who is wanted and what is banned is not less true for being old.
+        owner = Owner(self._name, "", record.owner.epoch)
+        verdict, why = judge(record, owner, moment(), Limits(), Known())
+        if verdict in (Trust.NEWER, Trust.FOREIGN) or not isinstance(record.body, dict):
+            log.warning("what the fleet had kept is left aside: %s", why)
+            return
+        self.epoch = record.owner.epoch + 1
+        body = record.body
+        self.list_seq = body["list_seq"] if isinstance(body.get("list_seq"), int) else 0
+        rows = body.get("orders")
+        for name, form in rows.items() if isinstance(rows, dict) else ():
+            try:
+                read_standing(form)
+            except Unusable as fault:
+                log.warning("%s: its kept orders are left aside: %s", name, fault)
+            else:
+                self.orders[str(name)] = form
+        if body.get("running") is True:
+            wanted = body.get("wanted")
+            failed = body.get("failed")
+            self.past = Past(
+                True, {str(k): bool(v) for k, v in wanted.items()} if isinstance(wanted, dict) else {},
+                {str(k): str(v) for k, v in failed.items()} if isinstance(failed, dict) else {},
+                _counts(body.get("restarts")), _counts(body.get("generations")),
+            )
+
+    def write(self, fleet: Fleet, running: bool = True) -> None:
+        """Keep how the fleet stands."""
+        rows = fleet.instances.values()
+        body = {
+            "running": running, "list_seq": self.list_seq, "orders": self.orders,
+            "wanted": {i.name: i.wanted for i in rows}, "failed": {i.name: i.reason for i in rows if i.failed},
+            "restarts": {i.name: i.restarts for i in rows}, "generations": {i.name: i.generation for i in rows},
+        }
+        owner = Owner(self._name, "", self.epoch)
+        self._records.write([Record(KIND, self._records.next_serial(KIND), owner, moment(), body)])
+        self._tell()
+
+    def _tell(self) -> None:
+        if self._records.problem != self._said:
+            self._said = self._records.problem
+            if self._said:
+                log.warning("the fleet's records: %s", self._said)
+
+    def hear(self, name: str, values: dict[str, Any]) -> bool:
+        """An instance tells of its list and orders; whether that is news."""
+        seq, form = values.get("seq"), values.get("standing")
+        news = False
+        if isinstance(seq, int) and seq > self.list_seq:
+            self.list_seq = seq
+            news = True
+        if isinstance(form, dict):
+            self.orders[name] = form
+            news = True
+        return news
+
+    def known(self, name: str) -> Known:
+        """What the fleet knows of an instance's records."""
+        version = self.orders.get(name, {}).get("version", 0)
+        return Known(self.list_seq, version if isinstance(version, int) else 0)
+
+    def forget(self, name: str) -> None:
+        """An instance is no longer in the file."""
+        self.orders.pop(name, None)
+
+    def close(self, fleet: Fleet) -> None:
+        """The supervisor ends in order."""
+        self.write(fleet, running=False)
+        self._records.close()
--- a/cometusher/fleet/process.py
+++ b/cometusher/fleet/process.py
@@ -18,13 +18,14 @@
 import traceback
 from dataclasses import dataclass, field
 from pathlib import Path
-from typing import Any, NoReturn
-
-import orjson
+from typing import TYPE_CHECKING, Any, NoReturn
 
 from cometusher.fleet import instance
 from cometusher.fleet.identity import Identity
-from cometusher.fleet.spec import FleetSpec, InstanceSpec, write_private
+from cometusher.fleet.spec import FleetSpec, InstanceSpec, as_file, write_private
+
+if TYPE_CHECKING:
+    from cometusher.fleet.estate import Holding
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 HIGH = 64  # descriptors are moved above this before they get their numbers
@@ -46,7 +47,12 @@
     lifeline: int  # to hold open
     spec: InstanceSpec  # what it runs with
     told: InstanceSpec  # ...and what it was told last, before its word on that
+    place: dict[str, int]  # on the ring of backends, for as long as it runs
     figures: dict[str, Any] = field(default_factory=dict)
+    comeback: dict[str, Any] = field(default_factory=dict)  # what it last said of its return...
+    hand: dict[str, Any] = field(default_factory=dict)  # ...and of its work in hand
+    holding: Holding | None = None  # what it would leave behind, where that is switched on
+    row: int = -1  # of the board that it beats on, where that is switched on
     rest: bytes = b""  # of a status line that is not whole
 
     def signal(self, number: int) -> None:
@@ -66,9 +72,12 @@
 
 
 def _environment(spec: FleetSpec, one: InstanceSpec, generation: int) -> dict[str, str]:
+    more = {"FLEET_COMEBACK": "1"} if spec.comeback is not None else {}
+    more |= {"FLEET_TAKEOVER": "1"} if spec.takeover is not None else {}
+    more |= {"FLEET_VIGIL": "1"} if spec.vigil is not None else {}
     environ = {k: v for k, v in os.environ.items() if not k.startswith(OURS)}
     path = [str(ROOT), *filter(None, [environ.get("PYTHONPATH")])]
-    return environ | {
+    return environ | more | {
         "PYTHONPATH": os.pathsep.join(path),
         "LB_CONFIG": str(spec.place.instance_file(one.name)), "LB_NAME": one.name,
         "FLEET_INSTANCE": one.name, "FLEET_GENERATION": str(generation), "FLEET_STATUS_FD": str(instance.STATUS),
@@ -131,10 +140,14 @@
         os._exit(code)
 
 
-def spawn(spec: FleetSpec, one: InstanceSpec, generation: int, listener: socket.socket) -> Child:
-    """Start a process; raises OSError."""
-    content = orjson.dumps(one.values | {"seed": secrets.token_hex(8)}, option=orjson.OPT_INDENT_2)
-    write_private(spec.place.instance_file(one.name), content)
+def spawn(
+    spec: FleetSpec, one: InstanceSpec, generation: int, listener: socket.socket,
+    more: dict[str, Any] | None = None, given: dict[int, int] | None = None,
+) -> Child:
+    """Start a process; `more` goes into its file, and it has the descriptors `given` by number. Raises OSError."""
+    place = spec.ring_place(one.name)
+    values = one.placed(place) | {"seed": secrets.token_hex(8)} | (more or {})
+    write_private(spec.place.instance_file(one.name), as_file(values))
     opened: list[int] = []
     try:
         for _ in range(3):
@@ -150,7 +163,7 @@
                 _become(
                     spec, one, generation,
                     {0: null, 1: log_w, 2: log_w, instance.LISTENER: listener.fileno(), instance.STATUS: status_w,
-                     instance.LIFELINE: lifeline_r},
+                     instance.LIFELINE: lifeline_r} | (given or {}),
                     {int(number) for number in mask},
                 )
         finally:
@@ -168,4 +181,4 @@
         os.setpgid(pid, pid)  # here too: whichever comes first
     identity = Identity.of(pid)
     assert identity is not None  # not reaped, so it is there
-    return Child(one.name, generation, pid, identity, pidfd, status, log, lifeline, one, one)
+    return Child(one.name, generation, pid, identity, pidfd, status, log, lifeline, one, one, place)
--- /dev/null
+++ b/cometusher/fleet/pulse.py
@@ -0,0 +1,80 @@
+"""An instance's beats: cells of memory that it shares with its supervisor, written by its event loop as it turns.
+
+Whoever reads them asks nobody: a process that stands still is seen to, and one that is slow to answer is not
+disturbed.
+A row is CELLS cells of 64 bits. The first is when the loop turned last, in nanoseconds of the machine's clock, and 0
+before; the second is the supervisor's: whether the process is to leave new connections to others. The rest are its
+account (`weldroute.siblings.Counting`).
+"""
+
+from __future__ import annotations
+
+import mmap
+import os
+import time
+from typing import TYPE_CHECKING
+
+from weldroute.siblings import CELLS, Account, Counting, read_account
+
+if TYPE_CHECKING:
+    from cometusher.proxy import Proxy
+
+BOARD = 9  # the descriptor that a process under a supervisor has it at
+TURNED, ASIDE = 0, 1  # cells
+ROW = 8 * CELLS  # bytes
+ROWS = 4096  # processes that can be alive at once
+
+
+def turn(proxy: Proxy, row: int, every: float) -> None:
+    """Beat from here on, `every` so many seconds; keep an account, and heed the supervisor's word."""
+    cells = memoryview(mmap.mmap(BOARD, ROWS * ROW))[row * ROW : (row + 1) * ROW].cast("q")
+    counting = proxy.counting = Counting(cells)
+
+    def beat() -> None:
+        cells[TURNED] = time.monotonic_ns()
+        counting.stands(proxy.discovery.seq, proxy.callers.crowded)
+        proxy.set_aside(bool(cells[ASIDE]))
+        proxy.loop.call_later(every, beat)
+
+    beat()
+
+
+class Board:
+    """The supervisor's side: all rows."""
+
+    def __init__(self) -> None:
+        self.descriptor = os.memfd_create("board", os.MFD_CLOEXEC)
+        os.ftruncate(self.descriptor, ROWS * ROW)
+        self._cells = memoryview(mmap.mmap(self.descriptor, ROWS * ROW)).cast("q")
+        self._free = list(range(ROWS - 1, -1, -1))
+
+    def take(self) -> int:
+        """A row of zeros; raises OSError where there is none."""
+        if not self._free:
+            raise OSError("no row of the board is free")
+        row = self._free.pop()
+        self._row(row)[:] = memoryview(bytes(ROW)).cast("q")
+        return row
+
+    def _row(self, row: int) -> memoryview:
+        return self._cells[row * CELLS : (row + 1) * CELLS]
+
+    def give(self, row: int) -> None:
+        """Its process has been reaped: nobody writes to it any more."""
+        self._free.append(row)
+
+    def turned(self, row: int) -> float:
+        """Seconds of the machine's clock; 0 if its process has not begun to beat."""
+        return self._cells[row * CELLS + TURNED] / 1e9
+
+    def account(self, row: int, tier: int) -> Account:
+        """What its process has counted."""
+        return read_account(self._row(row).tolist(), tier)
+
+    def set_aside(self, row: int, aside: bool) -> None:
+        """Tell its process whether to leave new connections to others."""
+        self._cells[row * CELLS + ASIDE] = aside
+
+    def close(self) -> None:
+        """The supervisor ends."""
+        os.close(self.descriptor)
--- a/cometusher/fleet/spec.py
+++ b/cometusher/fleet/spec.py
@@ -7,23 +7,36 @@
 import os
 import re
 import stat
-from dataclasses import dataclass, fields
+from collections.abc import Collection
+from dataclasses import dataclass, field, fields
 from pathlib import Path
-from typing import Any
+from typing import Any, Protocol, TypeVar
 
 import orjson
 
 from cometusher import config
 from cometusher.config import Address, ConfigError
 from cometusher.tables import Table, read_file
+from weldroute.comeback import Plan
 from weldroute.fleet import Policy
+from weldroute.herd import HerdPolicy
+from weldroute.inhand import BLOCK, Shelf, Size
+from weldroute.remember import Limits
+from weldroute.siblings import Comparison
+from weldroute.vigil import VigilPolicy
 
 NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
 MOST = 1024  # instances
+SPARE_BOOKS = 8
 MAX_SOCKET_PATH = 100  # bytes
 RELOADABLE = frozenset({"discovery", "limits", "known"})  # what an instance takes over while it runs
 
 
+def as_file(values: dict[str, Any]) -> bytes:
+    """An instance's own file."""
+    return orjson.dumps(values, option=orjson.OPT_INDENT_2)
+
+
 @dataclass(frozen=True, slots=True)
 class InstanceSpec:
     """One instance: all that it needs to start."""
@@ -36,14 +49,21 @@
     sockets: int
 
     @property
-    def content(self) -> bytes:
-        """The instance's own file."""
-        return orjson.dumps(self.values, option=orjson.OPT_INDENT_2)
+    def tier(self) -> int:
+        """Which tier it stands before; 0 where its file does not say."""
+        settings = self.values.get("settings")
+        tier = settings.get("Tier", 0) if isinstance(settings, dict) else 0
+        return tier if isinstance(tier, int) else 0
 
     @property
     def version(self) -> str:
         """Names the configuration; the same content has the same name everywhere."""
-        return hashlib.sha256(self.content + repr(self.command).encode()).hexdigest()[:12]
+        return hashlib.sha256(as_file(self.values) + repr(self.command).encode()).hexdigest()[:12]
+
+    def placed(self, place: dict[str, int]) -> dict[str, Any]:
+        """Its configuration at a place of the ring, as a process of it is told."""
+        settings = self.values.get("settings")
+        return self.values | {"settings": settings | place} if isinstance(settings, dict) else self.values
 
     def needs_restart(self, fresh: InstanceSpec) -> bool:
         """Whether the change to another configuration is more than a running instance can take over."""
@@ -63,6 +83,14 @@
     keep: int = 3
 
 
+@dataclass(frozen=True, slots=True)
+class Recorded:
+    """Where what the watch saw is kept."""
+
+    path: Path
+    most: int  # bytes
+
+
 @dataclass(frozen=True, slots=True)
 class Place:
     """Where a fleet lives: all that a command needs to reach it."""
@@ -91,11 +119,44 @@
         """The processes that the supervisor has started, for the one after it."""
         return self.state / "instances.json"
 
+    @property
+    def store(self) -> Path:
+        """The folder of records that outlive processes."""
+        return self.state / "store"
+
+    def records(self, name: str) -> Path:
+        """An instance's own records."""
+        return self.store / f"{name}.records"
+
+    @property
+    def fleet_records(self) -> Path:
+        """The supervisor's own; no instance's name begins with a dot."""
+        return self.store / ".fleet.records"
+
     def instance_file(self, name: str) -> Path:
         """An instance's own configuration."""
         return self.state / f"instance-{name}.json"
 
 
+@dataclass(frozen=True, slots=True)
+class ComebackSpec:
+    """How instances come back: what each may do, what it may believe, and what is a blow."""
+
+    plan: Plan
+    limits: Limits
+    herd: HerdPolicy
+
+
+@dataclass(frozen=True, slots=True)
+class TakeoverSpec:
+    """What is covered of work in hand, and at what pace it is handed on."""
+
+    shelf: Shelf = field(default_factory=Shelf)
+    rests: float = 10.0  # seconds in which the answers of a dead process can be asked for: the longest window
+    pace: int = 32  # pieces that one heir has to adopt at once
+    patience: float = 0.25  # seconds until what an heir has not received is taken back
+
+
 @dataclass(frozen=True, slots=True)
 class FleetSpec:
     """A fleet's whole file."""
@@ -105,6 +166,27 @@
     policy: Policy
     log: LogSpec
     instances: dict[str, InstanceSpec]
+    comeback: ComebackSpec | None = None  # switched on by its table
+    takeover: TakeoverSpec | None = None  # likewise
+    vigil: VigilPolicy | None = None  # likewise...
+    comparison: Comparison = field(default_factory=Comparison)  # ...with its comparison of siblings...
+    recorded: Recorded | None = None  # ...and where to keep what the watch saw
+
+    def ring_place(self, name: str) -> dict[str, int]:
+        """Which of how many before its tier an instance is, as settings; nothing for a command of the operators' own.
+
+        Guards against all of a fleet taking the same part of a long list for their own, since their common file says
+        the same of them: the ring of backends would be used in one place only. The file's own `Ordinal` is where this
+        fleet begins, for there may be others on other machines. It is told at the start of a process and is not a
+        part of its configuration: who else is there must not replace it.
+        """
+        one = self.instances[name]
+        if one.command:
+            return {}
+        settings = one.values["settings"]
+        names = [other.name for other in self.instances.values() if other.tier == one.tier and not other.command]
+        total = max(len(names), int(settings.get("Instances") or 1))
+        return {"Ordinal": (int(settings.get("Ordinal") or 0) + names.index(name)) % total, "Instances": total}
 
 
 def _read_policy(table: Table) -> Policy:
@@ -117,7 +199,19 @@
             assert isinstance(default, float)
             values[item.name] = table.number(item.name, default)
     table.done()
-    policy = Policy(**values)
+    return _checked(table, Policy(**values))
+
+
+class _Checked(Protocol):
+    def check(self) -> None:
+        """Raise ValueError naming the first field that makes no sense."""
+
+
+P = TypeVar("P", bound=_Checked)
+
+
+def _checked(table: Table, policy: P) -> P:
+    """A policy that makes sense; the error of one that does not names the key."""
     try:
         policy.check()
     except ValueError as fault:
@@ -126,6 +220,69 @@
     return policy
 
 
+def _read_comeback(root: Table, instances: int) -> ComebackSpec | None:
+    """The table `[comeback]`; None where the file has none."""
+    if not root.has("comeback"):
+        return None
+    table = root.table("comeback")
+    plan, limits, herd = Plan(), Limits(), HerdPolicy()
+    try:
+        plan = Plan(
+            instances=max(1, instances), returning=max(1, instances),
+            calm=table.number("connects", plan.calm, 0.01, 1000.0),
+            multiple=table.number("multiple", plan.multiple, 1.0, 1000.0),
+            list_for=table.number("list_for", plan.list_for), doubt_for=table.number("doubt_for", plan.doubt_for),
+            tries=table.number("tries", plan.tries, 0.1, 1e5),
+            retry_after=table.number("retry_after", plan.retry_after, 0.0, 3600.0),
+        )
+        limits = Limits(plan.list_for, min(table.number("learned_for", limits.learned_for), plan.list_for))
+        herd = HerdPolicy(
+            share=table.number("herd_share", herd.share, 0.001, 1.0), least=table.whole("herd_least", herd.least, 2),
+            within=table.number("herd_within", herd.within, 0.01, 600.0),
+            pace=table.number("starts", herd.pace, 0.1, 1e4), forgiven=table.whole("forgiven", herd.forgiven),
+        )
+        plan.check()
+        limits.check()
+        herd.check()
+    except ValueError as fault:
+        raise table.fault("", str(fault)) from None
+    table.done()
+    return ComebackSpec(plan, limits, herd)
+
+
+def _read_takeover(root: Table, instances: Collection[InstanceSpec]) -> TakeoverSpec | None:
+    """The table `[takeover]`; None where the file has none."""
+    if not root.has("takeover"):
+        return None
+    table, spec, size = root.table("takeover"), TakeoverSpec(), Size()
+    entries = table.whole("entries", size.entries, 1, 2**16)
+    kilobytes = table.whole("kilobytes", size.blocks * BLOCK // 1024, 64, 2**20)
+    own = Size(entries, kilobytes * 1024 // BLOCK, max((one.sockets for one in instances), default=1))
+    # As many again: for those that take over from a process, and for what the dead leave.
+    shelf = Shelf(own, 2 * len(instances) + SPARE_BOOKS, table.whole("keys", Shelf().keys, 64, 2**22))
+    found = TakeoverSpec(
+        shelf, table.number("rests", spec.rests, 0.0, 600.0), table.whole("pace", spec.pace, 1, 10_000),
+        table.number("patience", spec.patience, 0.02, 60.0),
+    )
+    table.done()
+    return found
+
+
+def _read_vigil(root: Table, base: Path) -> tuple[VigilPolicy | None, Comparison, Recorded | None]:
+    """The table `[vigil]`, whose keys are those of all three; None where the file has none."""
+    if not root.has("vigil"):
+        return None, Comparison(), None
+    table = root.table("vigil")
+    record, most = table.text("record", ""), int(table.number("record_mb", 64.0, 0.001, 1e4) * 2**20)
+    values, others = (
+        {item.name: table.number(item.name, getattr(usual, item.name), 0.001, 1e6) for item in fields(usual)}
+        for usual in (VigilPolicy(), Comparison())
+    )
+    table.done()
+    recorded = Recorded(base / record, most) if record else None
+    return _checked(table, VigilPolicy(**values)), _checked(table, Comparison(**others)), recorded
+
+
 def _read_log(table: Table, base: Path) -> LogSpec:
     target = table.text("target", "stderr")
     spec = LogSpec(
@@ -195,7 +352,9 @@
             self._files[name] = values
         return self._files[name]
 
-    def add(self, table: Table, name: str, listen: Address, common: _Common) -> None:
+    def add(
+        self, table: Table, name: str, listen: Address, common: _Common, management: Address | None = None
+    ) -> None:
         """Check one instance whole, and take it in."""
         if not NAME.fullmatch(name):
             raise table.fault("name", f"{name!r} is not a name (letters, digits, '.', '_', '-')")
@@ -214,6 +373,8 @@
         values["limits"] = {**values.get("limits", {}), "memory_mb": common.memory_mb, "sockets": common.sockets}
         if common.discovery:
             values["discovery"] = common.discovery
+        if management is not None:
+            values["management"] = "{}:{}".format(*management)
         self._place(values, common)
         if not common.command:
             try:
@@ -271,7 +432,11 @@
 def read_spec(path: Path) -> FleetSpec:
     """Read a fleet's file and all that it names; raises ConfigError naming file, line and key."""
     path = Path(os.path.abspath(path))
-    root = read_file(path)
+    return build_spec(path, read_file(path))
+
+
+def build_spec(path: Path, root: Table) -> FleetSpec:
+    """A fleet out of its file's values; raises ConfigError naming file, line and key."""
     base = path.parent
     head = root.table("fleet")
     place = _read_place(path, head)
@@ -285,14 +450,18 @@
     reader = _Reader(base)
     for table in root.tables("instance"):
         listen, own, name_ = table.address("listen"), _read_common(table, common), table.text("name")
+        management = table.address("management") if table.has("management") else None
         table.done()
-        reader.add(table, name_, listen, own)
+        reader.add(table, name_, listen, own, management)
     for table in root.tables("range"):
         _read_range(table, reader, common)
+    comeback = _read_comeback(root, len(reader.instances))
+    takeover = _read_takeover(root, reader.instances.values())
+    vigil, comparison, recorded = _read_vigil(root, base)
     root.done()
     if not reader.instances:
         raise ConfigError(f"{path}: instance: there is none")
-    return FleetSpec(place, spawn, policy, log, reader.instances)
+    return FleetSpec(place, spawn, policy, log, reader.instances, comeback, takeover, vigil, comparison, recorded)
 
 
 def write_private(path: Path, content: bytes) -> None:
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -15,9 +15,11 @@
 import secrets
 import signal
 import socket
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable, Iterator, Mapping
+from dataclasses import replace
+from enum import Enum
 from pathlib import Path
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import orjson
 
@@ -29,11 +31,19 @@
 from cometusher.fleet.listeners import Listeners, Taken, passed_sockets
 from cometusher.fleet.notify import ServiceManager
 from cometusher.fleet.process import Child
-from cometusher.fleet.spec import FleetSpec, InstanceSpec, prepare_state, read_spec, write_private
+from cometusher.fleet.spec import FleetSpec, InstanceSpec, as_file, prepare_state, read_spec, write_private
 from weldroute.fleet import Action, Done, Exit, Fleet, How, Notice, Phase, Release, Spawn, Step, Tell
+from weldroute.remember import Owner
+from weldroute.siblings import Key
+
+if TYPE_CHECKING:
+    from cometusher.fleet.estate import Estates
+    from cometusher.fleet.memory import Memory
+    from cometusher.fleet.watch import Watch
 
 log = logging.getLogger(__name__)
 
+KEEP = 0.2  # seconds from a change until it is kept
 TICK = 0.1  # seconds
 LOOK = 1.0  # seconds between looks at memory
 PROBE = 1.0  # seconds between readiness checks of a process that is ready...
@@ -43,8 +53,6 @@
 PAGE = os.sysconf("SC_PAGE_SIZE")
 MAX_STATUS = 16 * 1024  # bytes of a status line
 
-Key = tuple[str, int]
-
 
 def resident(pid: int) -> int:
     """Bytes of memory that a process holds; 0 if it is gone."""
@@ -71,7 +79,20 @@
     return 0
 
 
-async def is_up(address: tuple[str, int], mark: bytes) -> bool:
+def counts(values: Any) -> dict[str, int]:
+    """What a process tells in whole numbers, out of whatever it wrote."""
+    return {k: v for k, v in values.items() if isinstance(v, int)} if isinstance(values, dict) else {}
+
+
+class Answer(Enum):
+    """To a readiness check."""
+
+    UP = "up"
+    WAITS = "waits"  # it is well, and has nothing to serve from yet
+    NONE = "none"  # no answer, not up, or another's
+
+
+async def probe(address: tuple[str, int], mark: bytes) -> Answer:
     """One readiness check: `GET /up` over the listener, answered with 200 by the process that is meant.
 
     During a replacement two processes accept from one listener; the header X-Instance tells which answered. A
@@ -92,12 +113,14 @@
                         break
                     head += data
         except (OSError, TimeoutError):
-            return False
+            return Answer.NONE
     status, *rows = head.partition(b"\r\n\r\n")[0].split(b"\r\n")
-    if status.split(b" ")[1:2] != [b"200"]:
-        return False
-    marks = [row.partition(b":")[2].strip() for row in rows if row.lower().startswith(b"x-instance:")]
-    return not marks or marks == [mark]
+    values = {name.strip().lower(): value.strip() for name, _, value in (row.partition(b":") for row in rows)}
+    if values.get(b"x-instance", mark) != mark:
+        return Answer.NONE
+    if status.split(b" ")[1:2] == [b"200"]:
+        return Answer.UP
+    return Answer.WAITS if values.get(b"x-comeback") == b"nothing" else Answer.NONE
 
 
 class Supervisor:
@@ -106,7 +129,12 @@
     def __init__(self, spec: FleetSpec, environ: Mapping[str, str]) -> None:
         self.spec = spec
         self.loop = asyncio.get_running_loop()
-        self.fleet = Fleet(spec.policy, secrets.randbits(64))
+        herd = spec.comeback.herd if spec.comeback is not None else None
+        self.fleet = Fleet(spec.policy, secrets.randbits(64), herd)
+        self.memory: Memory | None = None
+        self.estates: Estates | None = None
+        self.watch: Watch | None = None
+        self._keep_due = False
         self.children: dict[Key, Child] = {}
         self.manager = ServiceManager(environ)
         self.listeners = Listeners(passed_sockets(environ))
@@ -129,6 +157,23 @@
 
         Raises Taken or OSError.
         """
+        if self.spec.comeback is not None:
+            from cometusher.fleet.memory import Memory
+
+            self.memory = Memory(self.spec)
+        if self.spec.takeover is not None:
+            from cometusher.fleet.estate import Estates
+
+            self.estates = Estates(self.spec.takeover, self.loop, self._heirs)
+        if self.spec.vigil is not None:
+            from cometusher.fleet.evidence import Recorder
+            from cometusher.fleet.watch import Watch
+
+            self.watch = Watch(
+                self.spec.vigil, self.spec.comparison, self.loop, self, self.estates is not None
+            )
+            if self.spec.recorded is not None:
+                self.watch.recorder = Recorder(self.spec.recorded.path, self.spec.recorded.most)
         await self._settle_predecessor()
         for one in self.spec.instances.values():
             self.listeners.get(one.name, one.listen)
@@ -144,18 +189,41 @@
         gc.collect()
         gc.freeze()
         now = self.loop.time()
-        for name in self.spec.instances:
-            self.fleet.add(now, name)
-        wanted = list(names)
+        wanted = self._take_up(now, list(names))
         for name in set(self.spec.instances) - set(wanted):
             self.listeners.release(name)
         self._tick()
+        if self.watch is not None:
+            self.watch.start()
         log.info("supervisor %d of %d instances starts", os.getpid(), len(self.spec.instances))
         done = await self._finish(self.fleet.start(now, wanted))
         if not self.fleet.ending:
             self.manager.ready(done.text)
         return done
 
+    def _take_up(self, now: float, names: list[str]) -> list[str]:
+        """Add all instances; returns those to start: where an earlier supervisor was killed, as it had them."""
+        memory = self.memory
+        for name, one in self.spec.instances.items():
+            past = memory.past if memory is not None else None
+            self.fleet.add(now, name, past.generations.get(name, 0) if past is not None else 0, one.tier)
+            if past is not None:
+                self.fleet.instances[name].restarts = past.restarts.get(name, 0)
+        wanted = names or list(self.spec.instances)
+        if memory is None or self.fleet.herd is None:
+            return wanted
+        past = memory.past
+        if past.unclean and not names:
+            wanted = [name for name in wanted if past.wanted.get(name, True) and name not in past.failed]
+            for name in set(past.failed) & set(self.spec.instances):
+                self.fleet.instances[name].wanted = self.fleet.instances[name].failed = True
+                self.fleet.instances[name].reason = past.failed[name]
+        cause = "the supervisor before ended without order" if past.unclean else "start"
+        self.fleet.herd.begun(now, wanted, len(self.spec.instances), cause)
+        log.info("epoch %d: %s", memory.epoch, cause, extra={"event": "epoch"})
+        self._keep()
+        return wanted
+
     async def ended(self) -> None:
         """Wait for the end, and clean up."""
         await self._ended.wait()
@@ -165,6 +233,12 @@
         self.listeners.release_all()
         with contextlib.suppress(OSError):
             self.spec.place.roster.unlink()
+        if self.memory is not None:
+            self.memory.close(self.fleet)
+        if self.watch is not None:
+            self.watch.close()
+        if self.estates is not None:
+            self.estates.close()
         log.info("supervisor stopped")
         self.sink.close()
 
@@ -173,6 +247,8 @@
         if not self.fleet.ending:
             log.info("stopping")
             self.manager.stopping()
+            if self.watch is not None:
+                self.watch.released(self.spec.instances)
             self.listeners.release_all()
             self._do(self.fleet.shutdown(self.loop.time()))
 
@@ -235,10 +311,13 @@
             elif isinstance(action, Tell):
                 self._tell(action)
             elif isinstance(action, Release):
+                if self.watch is not None:
+                    self.watch.released([action.name])
                 self.listeners.release(action.name)
             elif isinstance(action, Notice):
                 level = logging.WARNING if action.bad else logging.INFO
                 log.log(level, "%s", action.text, extra={"event": action.event, "instance": action.name or None})
+                self._keep()
             else:
                 self._done(action)
         if self.fleet.ended and not self.children:
@@ -262,7 +341,8 @@
         try:
             if one is None:
                 raise Taken("no longer in the file")
-            child = process.spawn(self.spec, one, action.generation, self.listeners.get(one.name, one.listen))
+            listener = self.listeners.get(one.name, one.listen)
+            child = self._start_process(one, action.generation, listener)
         except (OSError, Taken) as fault:
             text = f"could not be started: {fault}"
             self._do(self.fleet.spawn_failed(self.loop.time(), action.name, action.generation, text))
@@ -274,6 +354,113 @@
         self.loop.add_reader(child.pidfd, self._reap, child, stream)
         self._write_roster()
 
+    def _start_process(self, one: InstanceSpec, generation: int, listener: socket.socket) -> Child:
+        more = self._returning(one.name)
+        if one.command:
+            return process.spawn(self.spec, one, generation, listener, more)
+        if self.watch is None:
+            return self._start_covered(one, generation, listener, more, {})
+        row = self.watch.board.take()
+        try:
+            child = self._start_covered(one, generation, listener, more | self.watch.told(row), self.watch.pass_on())
+        except OSError:
+            self.watch.board.give(row)
+            raise
+        child.row = row
+        return child
+
+    def _start_covered(
+        self, one: InstanceSpec, generation: int, listener: socket.socket, more: dict[str, Any], given: dict[int, int]
+    ) -> Child:
+        if self.estates is None:
+            return process.spawn(self.spec, one, generation, listener, more, given)
+        holding = self.estates.make(one.name, one.tier, one.listen[1])
+        try:
+            child = process.spawn(
+                self.spec, one, generation, listener, more | self.estates.told(holding), given | holding.pass_on()
+            )
+        except OSError:
+            self.estates.dropped(holding)
+            raise
+        child.holding = holding
+        self.estates.started(holding)
+        return child
+
+    # ---- what the watch asks for: `cometusher.fleet.watch.Hands` --------------------------
+
+    def watched(self) -> list[Child]:
+        """Processes that are ready, beat, and are not told to end."""
+        return [child for child in self._ready_ones() if child.row >= 0]
+
+    def wanted(self) -> int:
+        """How many instances should run."""
+        return sum(instance.wanted for instance in self.fleet.instances.values())
+
+    def listener(self, name: str) -> socket.socket | None:
+        """What an instance's callers connect to, while it is open here."""
+        return self.listeners.find(name)
+
+    def pass_on(self, key: Key, connections: list[socket.socket], itself: bool = False) -> None:
+        """Connections that were accepted for a process go to others of its tier, or to it."""
+        child = self.children.get(key)
+        if self.estates is None or child is None or child.holding is None:
+            for one in connections:
+                one.close()
+            return
+        self.estates.accepted(child.holding, connections, itself)
+
+    def tier(self, name: str) -> int:
+        """Of an instance."""
+        one = self.spec.instances.get(name)
+        return one.tier if one is not None else 0
+
+    def replace(self, key: Key, why: str) -> None:
+        """Have a process killed, and followed by another."""
+        self._do(self.fleet.stalled(self.loop.time(), *key, why))
+
+    def _ready_ones(self) -> Iterator[Child]:
+        for (name, generation), child in self.children.items():
+            instance = self.fleet.instances.get(name)
+            at = instance.find(generation) if instance is not None else None
+            if at is not None and at.phase is Phase.READY:
+                yield child
+
+    def _heirs(self, tier: int) -> list[tuple[int, int]]:
+        """Who could inherit in a tier: processes, and the requests that they have in hand."""
+        found = []
+        for child in self._ready_ones():
+            one = self.spec.instances.get(child.name)
+            if child.holding is not None and one is not None and one.tier == tier:
+                found.append((child.holding.process, int(child.figures.get("open", 0))))
+        return [] if self.fleet.ending else found
+
+    def _returning(self, name: str) -> dict[str, Any]:
+        """What a process is told of its return, as a part of its file."""
+        spec, memory, herd = self.spec.comeback, self.memory, self.fleet.herd
+        if spec is None or memory is None or herd is None:
+            return {}
+        from cometusher.comeback import Returning, write_returning
+
+        plan = replace(
+            spec.plan, instances=len(self.fleet.instances), returning=herd.returning(self.loop.time(), name)
+        )
+        owner = Owner(self.spec.place.name, name, memory.epoch)
+        known = memory.known(name)
+        return {"comeback": write_returning(Returning(
+            plan, spec.limits, owner, self.spec.place.records(name), known, memory.orders.get(name)
+        ))}
+
+    def _keep(self) -> None:
+        """Have the fleet's state kept, soon and once for many changes."""
+        if self.memory is not None and not self._keep_due:
+            self._keep_due = True
+            self.loop.call_later(KEEP, self._keep_now)
+
+    def _keep_now(self) -> None:
+        self._keep_due = False
+        if self.memory is not None and not self._ended.is_set():
+            self.memory.write(self.fleet)
+
     def _tell(self, action: Tell) -> None:
         child = self.children.get((action.name, action.generation))
         if child is None:
@@ -282,7 +469,8 @@
             # One that is no longer in the file will be removed; it has nothing to take over.
             child.told = self.spec.instances.get(action.name, child.spec)
             try:
-                write_private(self.spec.place.instance_file(action.name), child.told.content)
+                content = as_file(child.told.placed(child.place))
+                write_private(self.spec.place.instance_file(action.name), content)
             except OSError as fault:
                 text = f"its file can't be written: {fault.strerror}"
                 self._do(self.fleet.reloaded(self.loop.time(), action.name, action.generation, text))
@@ -317,19 +505,48 @@
     def _status(self, child: Child, event: str, values: dict[str, Any]) -> None:
         now = self.loop.time()
         if event == "beat":
-            child.figures = {k: v for k, v in values.items() if isinstance(v, int)}
+            child.figures, child.hand = counts(values), counts(values.get("hand"))
             finished = sum(v for k, v in child.figures.items() if k != "open")
             self.fleet.beat(now, child.name, child.generation, finished)
         elif event == "ready":
             if (child.name, child.generation) not in self._probes:
                 self._probes[child.name, child.generation] = self.loop.create_task(self._probe(child))
+            self._reached(child, "up")
             self._do(self.fleet.ready(now, child.name, child.generation))
+        elif event == "comeback":
+            self._comes_back(child, values)
+        elif event == "declined" and self.estates is not None and child.holding is not None:
+            self.estates.declined(child.holding, values)
         elif event == "reloaded":
             why = values.get("why")
             if why is None:
                 child.spec = child.told
             self._do(self.fleet.reloaded(now, child.name, child.generation, None if why is None else str(why)))
 
+    def _comes_back(self, child: Child, values: dict[str, Any]) -> None:
+        """An instance tells of its return."""
+        if self.memory is None or self.fleet.herd is None:
+            return
+        if self.memory.hear(child.name, values):
+            self._keep()
+        child.comeback = {k: v for k, v in values.items() if k not in ("event", "standing")}
+        keys = ("connects", "held", "refused", "dropped")
+        costs = {key: count for key in keys if isinstance(count := values.get(key), int)}
+        self.fleet.herd.costs(child.name, costs)
+        for phase in ("known", "first", "full"):
+            if values.get(phase) is not None:
+                self._reached(child, phase)
+
+    def _reached(self, child: Child, phase: str) -> None:
+        herd, now = self.fleet.herd, self.loop.time()
+        found = herd.reached(now, child.name, phase) if herd is not None else None
+        if found is not None:
+            blow, fresh = found
+            text = f"event {blow.ident}, {len(blow.names)} of {blow.of}: {fresh} after {blow.reached[fresh]:.2f} s"
+            log.info("%s", text, extra={"event": "comeback"})
+            if fresh == "full":
+                log.info("event %d is over: %s", blow.ident, blow.view(now), extra={"event": "comeback_full"})
+
     async def _probe(self, child: Child) -> None:
         """Readiness checks of one process, as long as it is to answer them."""
         mark = f"{child.name}/{child.generation}".encode()
@@ -339,8 +556,11 @@
             found = instance.find(child.generation) if instance is not None else None
             if one is None or found is None or found.phase not in (Phase.STARTING, Phase.READY):
                 return
-            if await is_up(one.listen, mark):
+            answer = await probe(one.listen, mark)
+            if answer is Answer.UP:
                 self._do(self.fleet.up(self.loop.time(), child.name, child.generation))
+            elif answer is Answer.WAITS:
+                self.fleet.waits(self.loop.time(), child.name, child.generation)
             fresh = found.phase is Phase.STARTING
             await asyncio.sleep(PROBE_FRESH if fresh else PROBE)
 
@@ -360,6 +580,10 @@
         if probe is not None:
             probe.cancel()  # its question would be answered by the next process
         child.close()
+        if self.watch is not None and child.row >= 0:
+            self.watch.reaped((child.name, child.generation), child.row)
+        if self.estates is not None and child.holding is not None:
+            self.estates.reaped(child.holding)
         self._write_roster()
         self._do(self.fleet.exited(self.loop.time(), child.name, child.generation, self._exit(status)))
 
@@ -414,6 +638,11 @@
         self.manager.reloading()
         old, self.spec = self.spec, fresh
         self.fleet.policy = fresh.policy
+        if self.watch is not None and fresh.vigil is not None:
+            self.watch.vigil.policy = fresh.vigil
+            self.watch.vigil.siblings.policy = fresh.comparison
+        if self.fleet.herd is not None and fresh.comeback is not None:
+            self.fleet.herd.policy = fresh.comeback.herd
         steps = [(name, Step.REMOVE) for name in old.instances if name not in fresh.instances]
         for name, one in fresh.instances.items():
             step = self._step_to(one, old.instances.get(name))
@@ -453,6 +682,12 @@
         ):
             if before != after:
                 raise ConfigError(f"{fresh.place.path}: {key}: {after} instead of {before} needs a new start")
+        for key, was, now in (
+            ("comeback", old.comeback, fresh.comeback), ("takeover", old.takeover, fresh.takeover),
+            ("vigil", old.vigil, fresh.vigil),
+        ):
+            if (was is None) is not (now is None):
+                raise ConfigError(f"{fresh.place.path}: {key}: switching it on or off needs a new start")
         added = []
         for name, one in fresh.instances.items():
             running = old.instances.get(name)
@@ -483,6 +718,8 @@
             raise ControlError(f"no such instance: {', '.join(map(repr, unknown[:5]))}")
         if command == "status":
             return self.status(names)
+        if command == "explain":
+            return self._explain(names)
         self._not_ending()
         now = self.loop.time()
         if command == "start":
@@ -501,6 +738,13 @@
             raise ControlError(f"unknown command {command!r}")
         return self._told(await self._finish(begun))
 
+    def _explain(self, names: list[str]) -> dict[str, Any]:
+        """What the watch has seen and done of late."""
+        if self.watch is None:
+            raise ControlError("the fleet's file has no table [vigil]")
+        now = self.loop.time()
+        return {"notes": {name: self.watch.vigil.explain(now, name) for name in names or self.fleet.instances}}
+
     @staticmethod
     def _told(done: Done) -> dict[str, Any]:
         if not done.ok:
@@ -525,8 +769,18 @@
             row["memory"] = resident(child.pid) if child else 0
             row["descriptors"] = descriptors(child.pid) if child else 0
             row["requests"] = child.figures if child else {}
+            if self.memory is not None:
+                row["comeback"] = child.comeback if child else {}
+            if self.estates is not None:
+                row["hand"] = child.hand if child else {}
+            if self.watch is not None:
+                row["vigil"] = self.watch.vigil.view((name, row["generation"]))
             rows.append(row)
-        return {
+        herd = self.fleet.herd
+        blows = {"comeback": [blow.view(now) for blow in herd.blows]} if herd is not None else {}
+        estate = {"takeover": self.estates.view()} if self.estates is not None else {}
+        vigil = {"vigil": self.watch.view()} if self.watch is not None else {}
+        return blows | estate | vigil | {
             "fleet": self.spec.place.name, "pid": os.getpid(), "instances": rows, "operations": self.fleet.operations,
             "log_dropped": self.sink.dropped_total,
         }
@@ -547,7 +801,7 @@
     except (Taken, OSError) as fault:
         supervisor.listeners.release_all()
         raise CannotStart(str(fault)) from None
-    tell(await supervisor.run(names or list(spec.instances)))
+    tell(await supervisor.run(names))
     await supervisor.ended()
 
 
--- /dev/null
+++ b/cometusher/forms.py
@@ -0,0 +1,68 @@
+"""A proxy's state as the forms of `weldroute.handover`, and back into a proxy: one place for all that keeps or hands
+it over, an upgrade as well as a store."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from cometusher.discovery import Listing, read_listing
+from weldroute import ListKind, State
+from weldroute.handover import Standing, apply_standing
+
+if TYPE_CHECKING:
+    from cometusher.proxy import Proxy
+
+log = logging.getLogger(__name__)
+
+HEALTH = {State.UP: "in_service", State.DRAINING: "terminating"}
+
+
+def write_list(proxy: Proxy) -> dict[str, Any]:
+    """The list of backends as discovery would tell it whole."""
+    hosts = []
+    for host, server in proxy.names.items():
+        known, dial = proxy.balancer.servers.get(server), proxy.backends.dial(server)
+        if known is None or dial is None or known.row.state not in HEALTH:
+            continue
+        row, zones = known.row, proxy.config.zones
+        hosts.append({
+            "host": host, "dial": "{}:{}".format(*dial), "site": zones[row.zone] if row.zone < len(zones) else "",
+            "block": row.cell, "share": row.size, "health": HEALTH[row.state],
+            "born_ms": round(row.started * 1000.0, 3),
+        })
+    return {"seq": proxy.discovery.seq, "whole": True, "hosts": hosts}
+
+
+def take_list(proxy: Proxy, form: Any) -> Listing:
+    """Begin with a list that was written down, unless there is a newer one already; raises Unreadable."""
+    listing = read_listing(form, proxy.config.zones)
+    if listing.entries and listing.seq >= proxy.discovery.seq:
+        proxy.discovery.resume(listing.seq)
+        proxy.listed(ListKind.STALE, listing.entries)
+    return listing
+
+
+def standing(proxy: Proxy, version: int) -> Standing:
+    """What operators have ordered of this proxy, as a version of it."""
+    names = {server: host for host, server in proxy.names.items()}
+    balancer = proxy.balancer
+    return Standing(
+        version, proxy.operations.evacuated,
+        tuple((names[server], server, since) for server, since in balancer.bans.items() if server in names),
+        tuple((server, since, back) for server, (since, back) in balancer.returned.items()),
+    )
+
+
+def take_standing(proxy: Proxy, orders: Standing) -> None:
+    """Do as operators have ordered."""
+    proxy.names.update((host, server) for host, server, _ in orders.bans)
+    for server in apply_standing(proxy.balancer, proxy.clock.now(), orders):
+        log.info("backend %x: %s", server, "banned" if server in proxy.balancer.bans else "no longer banned")
+        proxy.backends.drop_idle(server)
+    if orders.evacuated is not proxy.operations.evacuated:
+        log.info("the proxy is %s", "evacuated" if orders.evacuated else "back")
+        if orders.evacuated:
+            proxy.operations.evacuate(proxy.loop.time())
+        else:
+            proxy.operations.rejoin()
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from random import Random
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 from cometusher.backends import Attempt, Backends
 from cometusher.budget import (
@@ -53,19 +53,24 @@
     Subscribe,
     Timer,
 )
+from weldroute.model import NEVER_RAN, Past, ServerId
 from weldroute.model import Discovery as DiscoveryMode
-from weldroute.model import ServerId
-from weldroute.operations import ALREADY, DONE, UNKNOWN, Call, Operations, Verdict
+from weldroute.operations import ALREADY, DONE, NOT_YET, UNKNOWN, Call, Operations, Stance, Verdict
 
 if TYPE_CHECKING:
+    from cometusher.comeback import Return
+    from cometusher.inhand.hand import Hand
     from cometusher.management import Management
     from cometusher.succession import Succession
+    from weldroute.siblings import Counting
 
 log = logging.getLogger(__name__)
 
+Joined = tuple[Any, int, int]  # a connection, as `Network.attach` takes it; bytes written to it, and read from it
 READY_PATH = b"/up"
 SWEEP = 0.1  # seconds between looks at idle connections and time limits
 FIRST_LIST = 2.0  # seconds that a process with a listener of others waits for its first list
+MANAGE_AGAIN = 0.1  # seconds between tries at the operators' address, while the process before has it
 REPORT = 10.0  # seconds between lines of figures in the log
 COMING = 3600.0  # seconds until the deadline of a request whose body still comes
 DRAIN_FIRST = 0.7  # seconds after the order to stop in which requests come that must have their whole time
@@ -87,13 +92,22 @@
         """Seconds."""
         return self._offset + self._monotonic()
 
+    def to_machine(self, at: float) -> float:
+        """A moment by the machine's clock, which all processes of a machine share."""
+        return at - self._offset
+
+    def from_machine(self, at: float) -> float:
+        """A moment of the machine's clock by this one."""
+        return at + self._offset
+
 
 class Exchange:
     """A request that was taken: one final answer is owed, and its attempts end here."""
 
     __slots__ = (
-        "answered", "attempts", "budget", "call_id", "caller", "deadline", "headers", "open", "passing", "place",
-        "proxy", "repeatable", "request", "rid", "timer", "why",
+        "answered", "attempts", "budget", "call_id", "caller", "deadline", "headers", "keep_until", "key", "kind",
+        "open", "passing", "place",
+        "proxy", "repeatable", "request", "rid", "slot", "timer", "why",
     )
 
     def __init__(
@@ -111,6 +125,10 @@
         self.repeatable = False  # the class is harmless to repeat
         self.attempts: list[Attempt] = []
         self.open = 0
+        self.slot = -1  # by which it is known to the book of work in hand...
+        self.kind = 0  # of one that was taken over: its class
+        self.key = 0  # ...and what it asks, if that has a key...
+        self.keep_until = 0.0  # ...and until when its answer is kept, by the machine's clock
         self.place = 0  # where other processes of this proxy see that its id is open
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
@@ -142,6 +160,9 @@
         self.config = config
         self.operations = Operations()
         self._succession: Succession | None = None
+        self.comeback: Return | None = None
+        self.hand: Hand | None = None
+        self.counting: Counting | None = None  # what its supervisor compares with others'
         self.management: Management | None = None
         self.names: dict[str, ServerId] = {}  # backends as discovery names them
         reserved = RESERVED_DESCRIPTORS + (MANAGEMENT_DESCRIPTORS if config.management else 0)
@@ -174,6 +195,14 @@
         self.listed(ListKind.STALE, known.entries)
         if config.shared:
             self._succeed(config.shared)
+        if config.returning is not None:
+            from cometusher.comeback import Return
+
+            self.comeback = Return(self, config.returning)
+        if config.covered is not None:
+            from cometusher.inhand.hand import Hand
+
+            self.hand = Hand(self, self.network.cover(config.covered))
 
     def _succeed(self, folder: str) -> None:
         from cometusher.succession import Succession
@@ -194,15 +223,17 @@
         self._serves()
         self._follow()
 
-    async def start_on(self, listener: socket.socket) -> None:
+    async def start_on(self, listener: socket.socket, beside: bool = False) -> None:
         """Follow discovery, and listen on what is handed in as soon as there is a list, or none to be had.
 
+        `beside`: another process may have the operators' address until its end; it is taken then.
+
         Guards against refusing what another process of the same listener could have served: one that knows no
         backend yet has nothing to send to. Harm: with discovery silent, the start takes FIRST_LIST longer.
         """
-        self._manage()
+        self._manage(beside)
         self._follow()
-        if not self.backends.known():
+        if not self.backends.known() and self.comeback is None:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(self.discovery.heard.wait(), FIRST_LIST)
         self.callers.listen(self.network.adopt(listener))
@@ -211,16 +242,24 @@
     def _serves(self) -> None:
         self.operations.serving = True
         self.take_posture()
+        if self.hand is not None:
+            self.hand.start()
         if self._succession is not None:
             self._succession.serves()
 
-    def _manage(self) -> None:
-        """Listen where operators call, if they do."""
-        if self.config.management is None:
+    def _manage(self, beside: bool = False) -> None:
+        """Listen where operators call, if they do: at once, or as soon as the process before lets go."""
+        if self.config.management is None or self.operations.stance is Stance.STOPPING:
             return
         from cometusher.management import Management
 
-        listener = self.network.listen(self.config.management)
+        try:
+            listener = self.network.listen(self.config.management)
+        except OSError:
+            if not beside:
+                raise
+            self.loop.call_later(MANAGE_AGAIN, self._manage, True)
+            return
         self.management = Management(self.loop, self.network.attach, listener, self.operate)
 
     def _follow(self) -> None:
@@ -253,6 +292,8 @@
             self._latest = self.clock.now() + DRAIN_FIRST + longest - DRAIN_SPARE
         if self._succession is not None:
             self._succession.stops()
+        if self.comeback is not None:
+            self.comeback.stops()
         self.operations.stop(self.loop.time(), DRAIN_FIRST + longest - DRAIN_SERVE)
         emptied: asyncio.Task[None] | None = None
         while emptied is None or not emptied.done():
@@ -267,14 +308,24 @@
         if self.management is not None:
             self.management.close()
         await self.discovery.stop()
+        if self.comeback is not None:
+            await self.comeback.close()
 
     def take_posture(self) -> None:
         """Do towards callers as the operations say."""
         self.callers.take(self.operations.posture(self.loop.time()))
 
+    def set_aside(self, aside: bool) -> None:
+        """Leave new connections to others, who accept on the same listener, or take them again; told often."""
+        if aside is not self.operations.aside:
+            self.operations.aside = aside
+            self.take_posture()
+
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP, self._sweep)
         self.backends.sweep()
+        if self.comeback is not None:
+            self.comeback.look()
         if self._succession is not None:
             self._succession.look()
         self.take_posture()
@@ -306,15 +357,17 @@
         """Do what operators ask; what a yes promises holds when this returns."""
         now = self.loop.time()
         if call is Call.READY:
-            return self.operations.ready()
+            verdict = self.operations.ready()
+            return NOT_YET if verdict.yes and self.comeback is not None and not self.comeback.ready else verdict
         if call is Call.EVACUATE:
             verdict = self.operations.evacuate(now)
         elif call is Call.REJOIN:
             verdict = self.operations.rejoin()
         else:
             verdict = self._ban(host, call is Call.EXCLUDE)
-        if self._succession is not None and verdict.yes:
-            self._succession.ordered()
+        for keeper in (self._succession, self.comeback):
+            if keeper is not None and verdict.yes:
+                keeper.ordered()
         self.take_posture()
         return verdict
 
@@ -383,15 +436,14 @@
         if request.target == READY_PATH and request.method == b"GET":
             if self._succession is not None:
                 self._succession.heed()  # as before any event, which this is not
-            caller.answer(200 if self.callers.posture.up else 503, list(self.mark), b"")
+            self._answer_ready(caller)
             return None
         try:
-            kind, budget = self._read(request)
+            kind, budget = self.read(request)
         except Malformed as fault:
             self._tally("malformed")
             caller.turn_away(fault)
             return None
-        tenant = self._tenants.get(request.header(b"x-caller") or b"", len(self._tenants))
         now = self.clock.now()
         longest = self.config.settings.classes[kind].deadline
         budget = longest if budget is None else min(budget, longest)
@@ -401,6 +453,51 @@
         stream = request.stream
         coming = stream is not None and not stream.done
         deadline = now + COMING if coming else min(now + budget, self._latest)
+        if self.hand is not None and self.hand.unread and not coming:
+            deadline -= self.hand.waited(caller)
+        exchange = self._open(caller, request, kind, budget, deadline)
+        if stream is not None:
+            stream.on_spent = exchange.body_spent
+        tenant = self._tenants.get(request.header(b"x-caller") or b"", len(self._tenants))
+        if self.hand is not None:
+            self._take_covered(self.hand, exchange, kind, tenant, coming)
+        elif self.comeback is not None:
+            self._admit(exchange, kind, tenant, coming)
+        else:
+            self._ask(exchange, kind, tenant, coming)
+        return exchange
+
+    def _take_covered(self, hand: Hand, exchange: Exchange, kind: int, tenant: int, coming: bool) -> None:
+        """A request that is noted, at the latest when it begins to wait."""
+        about = self.config.settings.classes[kind]
+        keyed = about.repeat is Repeat.KEYED and exchange.request.stream is None
+        spot = -1
+        if keyed:
+            place, spot = hand.meets(exchange, about)
+            if place is not None and hand.follows(
+                exchange, place, lambda: self._admit(exchange, kind, tenant, coming)
+            ):
+                return
+        self._admit(exchange, kind, tenant, coming)
+        if exchange.slot == -1 and not exchange.answered:
+            hand.waits(exchange)
+        if keyed and place is None:
+            hand.found_at(exchange, spot)
+
+    def _admit(self, exchange: Exchange, kind: int, tenant: int, coming: bool) -> None:
+        """Let a request go on; one that is whole at the pace of a return, if there is one."""
+        if self.comeback is None or coming:
+            self._ask(exchange, kind, tenant, coming)
+        else:
+            self.comeback.admits(exchange, kind, lambda: self._ask(exchange, kind, tenant, False))
+
+    def _tenant(self, request: Request) -> int:
+        return self._tenants.get(request.header(b"x-caller") or b"", len(self._tenants))
+
+    def _open(
+        self, caller: CallerConnection, request: Request, kind: int, budget: float, deadline: float
+    ) -> Exchange:
+        """A request is in hand from here on, until it has its answer by the deadline."""
         self._count += 1
         call_id = request.header(b"x-call-id") or b""
         exchange = Exchange(self, caller, request, str(self._count), call_id, deadline)
@@ -411,18 +508,86 @@
         self._open_ids.add(exchange.call_id)
         if self._succession is not None:
             exchange.place = self._succession.ids.open(call_id)
-        self._give_until(exchange, now, deadline)
-        if stream is not None:
-            stream.on_spent = exchange.body_spent
-        self._dispatch(exchange, lambda now: self.balancer.request(now, exchange.rid, kind, tenant, deadline, coming))
+        self._give_until(exchange, self.clock.now(), deadline)
+        return exchange
+
+    def take_over(
+        self, caller: CallerConnection, request: Request, deadline: float, rest_lost: bool
+    ) -> Exchange:
+        """A request that another process has taken from this connection is in hand here."""
+        kind, _ = self.read(request)
+        caller.resume(request, rest_lost)
+        exchange = self._open(caller, request, kind, max(0.0, deadline - self.clock.now()), deadline)
+        exchange.slot, exchange.kind = caller.slot, kind
+        self._tally("inherited")
+        caller.resumed(exchange)
         return exchange
 
+    def go_on(self, exchange: Exchange, past: Sequence[Past], joined: Sequence[Joined | None]) -> None:
+        """Go on with it, from the attempts that the other process has made; those that are joined go on here."""
+        for number, (one, connection) in enumerate(zip(past, joined, strict=True)):
+            attempt = Attempt(exchange, number, one.server, one.sent, exchange.repeatable)
+            attempt.place = number
+            attempt.ended = connection is None
+            exchange.attempts.append(attempt)
+            if connection is not None:
+                exchange.open += 1
+                self.backends.join(attempt, *connection)
+        kind, tenant, deadline = exchange.kind, self._tenant(exchange.request), exchange.deadline
+
+        def ask() -> None:
+            self._dispatch(
+                exchange, lambda now: self.balancer.inherit(now, exchange.rid, kind, tenant, deadline, past)
+            )
+
+        ask()
+
+    def pass_on(self, exchange: Exchange, status: int, headers: Headers, body: bytes) -> None:
+        """Give the answer that another request of its key has had."""
+        if not exchange.answered:
+            self._tally("served")
+            self._answer(exchange, status, headers, body)
+
+    def retry_after(self) -> float:
+        """Seconds after which one that is refused for no fault of the backends may come again; 0: none is named."""
+        limits = self.config.settings.limits
+        return min(self._rng.random(), limits.max_retry_after) if limits.retry_after else 0.0
+
+    def _answer_ready(self, caller: CallerConnection) -> None:
+        headers, up = list(self.mark), self.callers.posture.up
+        if self.comeback is not None:
+            up = up and self.comeback.ready
+            headers.append((b"x-comeback", self.comeback.state.phase.value.encode()))
+        caller.answer(200 if up else 503, headers, b"")
+
+    def _ask(self, exchange: Exchange, kind: int, tenant: int, coming: bool) -> None:
+        """Bring a request before the module."""
+        if self.comeback is not None:
+            self.balancer.kept = self.comeback.kept()
+        deadline = exchange.deadline
+        self._dispatch(exchange, lambda now: self.balancer.request(now, exchange.rid, kind, tenant, deadline, coming))
+        self.balancer.kept = None
+
+    def turn_away(self, action: Refuse | Fail) -> None:
+        """Refuse or fail a request that the module was not asked for."""
+        if isinstance(action, Refuse):
+            self._refuse(action)
+        else:
+            exchange = self._exchanges[action.request]
+            self._fail(exchange, exchange.why)
+
+    def exchange(self, rid: str) -> Exchange | None:
+        """A request that is not settled."""
+        return self._exchanges.get(rid)
+
     def body_whole(self, exchange: Exchange) -> None:
         """The last byte of a body that is passed on while it comes: the request's time counts from here."""
         if exchange.answered:
             return
         now = self.clock.now()
         self._give_until(exchange, now, min(now + exchange.budget, self._latest))
+        if self.hand is not None:
+            self.hand.whole(exchange)
         for attempt in exchange.attempts:
             if not attempt.ended:
                 attempt.sent = now
@@ -432,7 +597,7 @@
         """It can't be sent again."""
         self.balancer.spent(exchange.rid)
 
-    def _read(self, request: Request) -> tuple[int, float | None]:
+    def read(self, request: Request) -> tuple[int, float | None]:
         """Class and budget of a request.
 
         Guards backends, and what is learned of them, against requests that can only go wrong there: an id
@@ -466,6 +631,10 @@
                 self._stop(exchange.passing, Outcome.CANCELLED)  # nobody is there to read the rest
             return
         self._tally("left")
+        if self.comeback is not None:
+            self.comeback.left(exchange)
+        if self.hand is not None:
+            self.hand.gone(exchange)
         exchange.answered = True
         self._dispatch(exchange, lambda now: self.balancer.gone(now, exchange.rid))
         self._settle(exchange)
@@ -487,6 +656,12 @@
             exchange.timer = self.loop.call_later(early + 0.001, self._deadline, exchange)
             return
         exchange.timer = None
+        if self.comeback is not None and self.comeback.late(exchange):
+            return
+        if self.hand is not None and self.hand.gone(exchange):
+            # What it followed may have run, here or elsewhere.
+            self._fail(exchange, "work of the same key is in hand elsewhere")
+            return
         for attempt in list(exchange.attempts):
             if not attempt.ended:
                 how_far = self.backends.stop(attempt)
@@ -544,7 +719,9 @@
 
     def _answer(self, exchange: Exchange, status: int, headers: Headers, body: bytes) -> None:
         exchange.answered = True
-        exchange.caller.answer(status, headers, body)
+        if self.hand is not None:
+            self.hand.note(exchange)
+        exchange.caller.answer(status, headers, body, noted=True)
         self._settle(exchange)
 
     # ---- attempts ------------------------------------------------------------------------
@@ -622,6 +799,14 @@
         assert isinstance(exchange, Exchange)
         exchange.open -= 1
         latency = self.clock.now() - attempt.sent
+        if self.counting is not None:
+            known = self.balancer.servers.get(attempt.server)
+            if known is not None:
+                self.counting.ended(known.row.zone, how, latency)
+        if self.hand is not None and how in NEVER_RAN:
+            self.hand.never(attempt, exchange)
+        if self.comeback is not None:
+            how = self.comeback.ended(attempt, how, response)
         if how is not Outcome.OK and how is not Outcome.CANCELLED:
             exchange.why = f"backend {attempt.server:x}: {why}"
             self._tally(how.value)
@@ -636,7 +821,7 @@
         elif not exchange.answered and how is Outcome.OK and response is not None:
             exchange.answered = True
             self._tally("served")
-            exchange.caller.answer(200, _passed_on(response), response.body)
+            exchange.caller.answer(200, _passed_on(response), response.body, noted=True)
         last = exchange.answered
         self._dispatch(
             exchange,
@@ -648,6 +833,15 @@
 
     def listed(self, kind: ListKind, entries: Sequence[Entry]) -> None:
         """The list, a change to it, or the news that a call failed."""
+        if self.comeback is not None:
+            heard = self.comeback.hears(kind, entries)
+            if heard is None:
+                return
+            entries = heard
+        self.listed_as(kind, entries)
+
+    def listed_as(self, kind: ListKind, entries: Sequence[Entry]) -> None:
+        """Apply a list, or a change to it."""
         if kind is not ListKind.BROKEN and kind is not ListKind.PATCH:
             for gone in set(self.backends.known()) - {entry.row.server for entry in entries}:
                 self.backends.forget(gone)
--- /dev/null
+++ b/cometusher/schemas.py
@@ -0,0 +1,78 @@
+"""The published JSON schemas of the project's own files, made from the very readers that check them.
+
+    python -m cometusher.schemas deploy/schema
+
+A reader is run on a sample that has every table, and what it asks of each is its schema. What a schema can't say
+(names that are there twice, files that a file names) only `cometusher check` tells.
+"""
+
+from __future__ import annotations
+
+import sys
+import tomllib
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import orjson
+
+from cometusher.drill.scenario import build_scenario
+from cometusher.fleet.spec import build_spec
+from cometusher.tables import Source, Table
+
+FLEET = """
+[fleet]
+state = "state"
+[policy]
+[log]
+[common]
+command = ["true"]
+[comeback]
+[takeover]
+[vigil]
+[[instance]]
+name = "a"
+listen = "127.0.0.1:9000"
+management = "127.0.0.1:9001"
+[[range]]
+name = "b{}"
+ports = "9100-9101"
+"""
+DRILL = """
+[drill]
+[backends]
+[load]
+[[fleet]]
+name = "a"
+[[fault]]
+do = "link"
+link = "backend"
+fleet = "a"
+[[expect]]
+figure = "served"
+"""
+READERS: dict[str, tuple[str, Callable[[Path, Table], object]]] = {
+    "fleet": (FLEET, build_spec), "drill": (DRILL, build_scenario),
+}
+
+
+def schema(name: str) -> dict[str, Any]:
+    """The schema of one kind of file."""
+    text, build = READERS[name]
+    path = Path(f"/{name}.toml")
+    table = Table(Source(path, text), tomllib.loads(text))
+    build(path, table)
+    head = {"$schema": "https://json-schema.org/draft/2020-12/schema", "title": f"A {name}'s file"}
+    return head | table.shape.schema()
+
+
+def write_schemas(folder: Path) -> None:
+    """Write them all; raises OSError."""
+    folder.mkdir(parents=True, exist_ok=True)
+    for name in READERS:
+        data = orjson.dumps(schema(name), option=orjson.OPT_INDENT_2 | orjson.OPT_APPEND_NEWLINE)
+        (folder / f"{name}.json").write_bytes(data)
+
+
+if __name__ == "__main__":
+    write_schemas(Path(sys.argv[1]))
--- a/cometusher/seam.py
+++ b/cometusher/seam.py
@@ -10,16 +10,31 @@
 import asyncio
 import select
 import socket
+import struct
 import time
 from collections.abc import Callable
+from pathlib import Path
 from typing import TYPE_CHECKING, Any, Protocol
 
 from cometusher.config import Address
+from weldroute.remember import Moment
 
 if TYPE_CHECKING:
+    from cometusher.comeback import Kept, Returning
     from cometusher.handover import Handover
+    from cometusher.inhand.door import Covered
+    from cometusher.inhand.hand import Door
+    from weldroute.remember import Record
+    from weldroute.takeover import Seen
 
 BACKLOG = 4096
+RESET = struct.pack("ii", 1, 0)  # SO_LINGER of socket(7): closing drops what is unsent, and resets
+
+
+def moment() -> Moment:
+    """Now, by the clock that may be set and by the one that counts from the machine's boot."""
+    boot = Path("/proc/sys/kernel/random/boot_id").read_text().strip()
+    return Moment(time.time(), boot, time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
 class Listener(Protocol):
@@ -66,6 +81,24 @@
     def share(self, folder: str) -> Handover:
         """What processes of one proxy share; raises OSError."""
 
+    def keep(self, returning: Returning) -> tuple[dict[str, Record], Kept]:
+        """What is kept of an instance, and where to keep more."""
+
+    def moment(self) -> Moment:
+        """Now, by the clocks that a record is dated with."""
+
+    def cover(self, covered: Covered) -> Door:
+        """Where a process notes what it has in hand, and is handed that of others."""
+
+    def named(self, transport: asyncio.Transport) -> tuple[int, int]:
+        """A connection's descriptor, and a number for it that no other connection has meanwhile."""
+
+    def look(self, connection: Any, name: int, opened_here: bool) -> Seen | None:
+        """What became of a connection that was handed over; None if it is gone, or is not the one of this name."""
+
+    def reset(self, connection: Any) -> None:
+        """Have its close be seen by the far side as what it is."""
+
 
 class SocketListener:
     """A listening socket."""
@@ -131,6 +164,39 @@
 
         return in_folder(folder)
 
+    def keep(self, returning: Returning) -> tuple[dict[str, Record], Kept]:
+        """What is kept of an instance on disk, and where to keep more."""
+        from cometusher.comeback import open_store
+
+        return open_store(returning)
+
+    def moment(self) -> Moment:
+        """Now."""
+        return moment()
+
+    def cover(self, covered: Covered) -> Door:
+        """The book and the door that the supervisor has given this process."""
+        from cometusher.inhand.door import SocketDoor
+
+        return SocketDoor(self._loop, covered)
+
+    def named(self, transport: asyncio.Transport) -> tuple[int, int]:
+        """By its two addresses."""
+        from cometusher.inhand.accounts import name_by
+
+        sock = transport.get_extra_info("socket")
+        return sock.fileno(), name_by(transport.get_extra_info("sockname"), transport.get_extra_info("peername"))
+
+    def look(self, connection: socket.socket, name: int, opened_here: bool) -> Seen | None:
+        """The kernel's account of a socket."""
+        from cometusher.inhand.accounts import look
+
+        return look(connection, name, opened_here)
+
+    def reset(self, connection: socket.socket) -> None:
+        """By RST."""
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+
 
 def inherited_listener(descriptor: int, address: Address) -> socket.socket:
     """A listening socket that this process was started with; raises OSError if it is not that of the address."""
--- a/cometusher/service.py
+++ b/cometusher/service.py
@@ -62,7 +62,7 @@
     if listener is None:
         proxy.start()
     else:
-        await proxy.start_on(listener)
+        await proxy.start_on(listener, beside=parent is not None)
     # What is alive now lives on: full collections need not walk it.
     gc.collect()
     gc.freeze()
--- a/cometusher/succession.py
+++ b/cometusher/succession.py
@@ -9,17 +9,9 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from cometusher.discovery import Unreadable, read_listing
-from weldroute import ListKind, State
-from weldroute.handover import (
-    Stage,
-    Standing,
-    Unusable,
-    adopt_learned,
-    apply_standing,
-    read_standing,
-    write_learned,
-)
+from cometusher.discovery import Unreadable
+from cometusher.forms import standing, take_list, take_standing, write_list
+from weldroute.handover import Stage, Unusable, adopt_learned, read_standing, write_learned
 
 if TYPE_CHECKING:
     from cometusher.handover import Handover
@@ -29,7 +21,6 @@
 
 SAVE_EVERY = 1.0  # seconds between writings of what was learned
 MOST_EVICTED = 16  # at one look
-HEALTH = {State.UP: "in_service", State.DRAINING: "terminating"}
 
 
 class Succession:
@@ -66,50 +57,27 @@
     def _take_list(self, learned: Any) -> None:
         if not isinstance(learned, dict):
             raise Unusable("form: not an object")
-        proxy = self._proxy
-        listing = read_listing(learned.get("list"), proxy.config.zones)
-        # A list of the configuration that is newer than ours stays.
-        if listing.entries and listing.seq >= proxy.discovery.seq:
-            proxy.discovery.resume(listing.seq)
-            proxy.listed(ListKind.STALE, listing.entries)
+        take_list(self._proxy, learned.get("list"))
 
     def _take_orders(self, form: Any) -> None:
         if form is None:
             return
-        proxy = self._proxy
         try:
-            standing = read_standing(form)
+            orders = read_standing(form)
         except Unusable as fault:
             log.warning("standing orders are left aside: %s", fault)
             return
-        if standing.version < self._version:
+        if orders.version < self._version:
             return
-        self._version = standing.version
-        proxy.names.update((host, server) for host, server, _ in standing.bans)
-        for server in apply_standing(proxy.balancer, proxy.clock.now(), standing):
-            log.info("backend %x: %s", server, "banned" if server in proxy.balancer.bans else "no longer banned")
-            proxy.backends.drop_idle(server)
-        if standing.evacuated is not proxy.operations.evacuated:
-            log.info("the proxy is %s", "evacuated" if standing.evacuated else "back")
-            if standing.evacuated:
-                proxy.operations.evacuate(proxy.loop.time())
-            else:
-                proxy.operations.rejoin()
+        self._version = orders.version
+        take_standing(self._proxy, orders)
 
     # ---- what this one tells -------------------------------------------------------------
 
     def ordered(self) -> None:
         """Operators have ordered something: it is to outlive this process, and to reach the others."""
-        proxy = self._proxy
-        names = {server: host for host, server in proxy.names.items()}
-        balancer = proxy.balancer
         self._version += 1
-        standing = Standing(
-            self._version, proxy.operations.evacuated,
-            tuple((names[server], server, since) for server, since in balancer.bans.items() if server in names),
-            tuple((server, since, back) for server, (since, back) in balancer.returned.items()),
-        )
-        self._write("standing", standing.write())
+        self._write("standing", standing(self._proxy, self._version).write())
         self._files.ledger.ordered()
 
     def serves(self) -> None:
@@ -151,7 +119,7 @@
             self._make_room()
         elif proxy.operations.serving and proxy.loop.time() >= self._save_at:
             self._save_at = proxy.loop.time() + SAVE_EVERY
-            self._write("learned", write_learned(proxy.balancer, proxy.clock.now()) | {"list": self._list()})
+            self._write("learned", write_learned(proxy.balancer, proxy.clock.now()) | {"list": write_list(proxy)})
 
     def _make_room(self) -> None:
         """Guards against a newer process that finds no descriptors, while idle connections here hold them."""
@@ -160,21 +128,6 @@
             if not descriptors.tight() or not (descriptors.evict_backend() or descriptors.evict_caller()):
                 return
 
-    def _list(self) -> dict[str, Any]:
-        proxy = self._proxy
-        hosts = []
-        for host, server in proxy.names.items():
-            known, dial = proxy.balancer.servers.get(server), proxy.backends.dial(server)
-            if known is None or dial is None or known.row.state not in HEALTH:
-                continue
-            row, zones = known.row, proxy.config.zones
-            hosts.append({
-                "host": host, "dial": "{}:{}".format(*dial), "site": zones[row.zone] if row.zone < len(zones) else "",
-                "block": row.cell, "share": row.size, "health": HEALTH[row.state],
-                "born_ms": round(row.started * 1000.0, 3),
-            })
-        return {"seq": proxy.discovery.seq, "whole": True, "hosts": hosts}
-
     def _write(self, name: str, form: dict[str, Any]) -> None:
         try:
             self._files.write(name, form)
--- a/cometusher/tables.py
+++ b/cometusher/tables.py
@@ -42,6 +42,33 @@
     return lines
 
 
+class Shape:
+    """What a reader asks of a table, noted while it asks: so there is one place for keys and for their schema."""
+
+    def __init__(self) -> None:
+        self.keys: dict[str, dict[str, Any]] = {}
+        self.needed: set[str] = set()
+        self.optional: set[str] = set()  # asked for only where they are there
+        self.inner: dict[str, Shape] = {}
+        self.lists: set[str] = set()  # those of them that are lists of tables
+
+    def enter(self, key: str, many: bool) -> Shape:
+        """The shape of an inner table, or of each of a list of them."""
+        if many:
+            self.lists.add(key)
+        return self.inner.setdefault(key, Shape())
+
+    def schema(self) -> dict[str, Any]:
+        """As JSON schema (draft 2020-12)."""
+        found = dict(self.keys)
+        for key, shape in self.inner.items():
+            one = shape.schema()
+            found[key] = {"type": "array", "items": one} if key in self.lists else one
+        left = sorted(self.needed - self.optional)
+        needed = {"required": left} if left else {}
+        return {"type": "object", "properties": dict(sorted(found.items())), "additionalProperties": False} | needed
+
+
 class Source:
     """A file, and where its keys stand."""
 
@@ -61,10 +88,13 @@
 class Table:
     """One table of a file."""
 
-    def __init__(self, source: Source, values: dict[str, Any], name: str = "") -> None:
+    def __init__(
+        self, source: Source, values: dict[str, Any], name: str = "", shape: Shape | None = None
+    ) -> None:
         self.source = source
         self.values = values
         self.name = name
+        self.shape = shape or Shape()
         self._asked: set[str] = set()
 
     def at(self, key: str) -> str:
@@ -76,7 +106,8 @@
         return self.source.fault(self.at(key) if key else self.name, why)
 
     def has(self, key: str) -> bool:
-        """Whether the file has a key."""
+        """Whether the file has a key, which may be left out."""
+        self.shape.optional.add(key)
         return key in self.values
 
     def _take(self, key: str, default: T, read: Callable[[Any], T | None], kind: str) -> T:
@@ -90,6 +121,9 @@
 
     def text(self, key: str, default: str | None = None) -> str:
         """A string that is not empty; without a default it has to be there."""
+        self.shape.keys[key] = {"type": "string", "minLength": 1} | ({"default": default} if default else {})
+        if default is None:
+            self.shape.needed.add(key)
         value = self._take(key, default or "", lambda v: v if isinstance(v, str) and v else None, "a text")
         if not value and default is None:
             near = difflib.get_close_matches(key, set(self.values) - self._asked, 1)
@@ -98,6 +132,7 @@
 
     def number(self, key: str, default: float, low: float = 0.0, high: float = 1e9) -> float:
         """A finite number within bounds."""
+        self.shape.keys[key] = {"type": "number", "minimum": low, "maximum": high, "default": default}
 
         def read(value: Any) -> float | None:
             right = isinstance(value, (int, float)) and not isinstance(value, bool) and math.isfinite(value)
@@ -107,18 +142,27 @@
 
     def whole(self, key: str, default: int, low: int = 0, high: int = 2**31 - 1) -> int:
         """A whole number within bounds."""
+        self.shape.keys[key] = {"type": "integer", "minimum": low, "maximum": high}
+        if low <= default <= high:
+            self.shape.keys[key]["default"] = default
 
         def read(value: Any) -> int | None:
             return value if isinstance(value, int) and not isinstance(value, bool) and low <= value <= high else None
 
         return self._take(key, default, read, f"a whole number from {low} to {high}")
 
-    def choice(self, key: str, default: str, among: Sequence[str]) -> str:
-        """One of some words."""
-        return self._take(key, default, lambda v: v if v in among else None, "one of " + ", ".join(among))
+    def choice(self, key: str, default: str | None, among: Sequence[str]) -> str:
+        """One of some words; without a default it has to be there."""
+        self.shape.keys[key] = {"enum": list(among)} | ({"default": default} if default in among else {})
+        if default is None:
+            self.shape.needed.add(key)
+            if key not in self.values:
+                raise self.fault(key, "missing")
+        return self._take(key, default or "", lambda v: v if v in among else None, "one of " + ", ".join(among))
 
     def texts(self, key: str) -> tuple[str, ...]:
         """A list of strings; empty if absent."""
+        self.shape.keys[key] = {"type": "array", "items": {"type": "string"}, "minItems": 1}
 
         def read(value: Any) -> tuple[str, ...] | None:
             good = isinstance(value, list) and value and all(isinstance(v, str) for v in value)
@@ -129,6 +173,7 @@
     def address(self, key: str, default: str | None = None) -> Address:
         """`host:port`."""
         text = self.text(key, default)
+        self.shape.keys[key]["pattern"] = "^.+:[0-9]+$"
         try:
             return read_address(text, key)
         except ConfigError:
@@ -138,7 +183,7 @@
         """A table; empty if absent."""
         none: dict[str, Any] = {}
         value = self._take(key, none, lambda v: v if isinstance(v, dict) else None, "a table")
-        return Table(self.source, value, self.at(key))
+        return Table(self.source, value, self.at(key), self.shape.enter(key, many=False))
 
     def tables(self, key: str) -> list[Table]:
         """A list of tables; empty if absent."""
@@ -148,7 +193,8 @@
 
         none: list[dict[str, Any]] = []
         rows = self._take(key, none, read, "a list of tables")
-        return [Table(self.source, row, f"{self.at(key)}[{i}]") for i, row in enumerate(rows)]
+        shape = self.shape.enter(key, many=True)
+        return [Table(self.source, row, f"{self.at(key)}[{i}]", shape) for i, row in enumerate(rows)]
 
     def done(self) -> None:
         """Raise ConfigError for a key that nobody asked for."""
--- a/cometusher/virtual/network.py
+++ b/cometusher/virtual/network.py
@@ -15,13 +15,22 @@
 from collections import deque
 from collections.abc import Callable, Hashable, Iterable
 from dataclasses import dataclass, field
-from typing import Any
+from typing import TYPE_CHECKING, Any
+
+import orjson
 
 from cometusher.config import Address
 from cometusher.handover import ORDERS, ROWS, Handover, Ledger
 from cometusher.seam import Listener
 from cometusher.virtual.loop import MACHINE, VirtualLoop
 from weldroute.handover import OpenIds
+from weldroute.remember import Moment, Owner, Record, read_record
+from weldroute.takeover import Seen
+
+if TYPE_CHECKING:
+    from cometusher.comeback import Kept, Returning
+    from cometusher.inhand.door import Covered
+    from cometusher.inhand.hand import Door
 
 WINDOW = 64 * 1024  # bytes under way and unread in one direction
 HIGH, LOW = 64 * 1024, 16 * 1024  # asyncio's own marks for its write buffer
@@ -90,8 +99,12 @@
             self.network.loop._ready.extend(self._held)
             self._held.clear()
 
-    def kill(self) -> None:
-        """The process dies: its connections are reset, and what comes to its address is refused."""
+    def kill(self, keeps: bool = False) -> list[VirtualTransport]:
+        """The process dies: its connections are reset, and what comes to its address is refused.
+
+        Where a second process `keeps` its connections they stay, and are returned.
+        """
+        kept = [one for one in self.transports if keeps and not one.is_closing()]
         self.dead = self.stopped = True
         self._held.clear()
         for listener in list(self.network.listeners.values()):
@@ -100,9 +113,13 @@
             for holder in [one for one in listener.holders if one.machine is self]:
                 holder.close()
         for transport in list(self.transports):
-            transport.die()
+            if transport in kept:
+                transport.orphan()
+            else:
+                transport.die()
         self.network.loop.bury(list(self.tasks))
         self.tasks.clear()
+        return kept
 
     @property
     def silent(self) -> bool:
@@ -135,7 +152,8 @@
         self.peer: VirtualTransport | None = None
         self._out = bytearray()  # not taken by the kernel yet
         self._under_way = 0  # bytes sent and not yet at the peer
-        self._inbox: deque[bytes] = deque()  # at this end, not read
+        self._inbox: deque[bytes] = deque()  # at this end, not read...
+        self._heard = 0.0  # ...and when the last of it came
         self._wire: deque[Callable[[], None]] = deque()  # on the way to the peer, first in first out
         self._last = 0.0  # when the last of it arrives
         self._sent = 0.0  # when the line is free again
@@ -149,6 +167,8 @@
         self._gone = False  # the descriptor is closed
         self._due = False  # reading is scheduled
         self._kept: deque[tuple[int, Callable[[], None]]] = deque()  # the way is cut: to be sent again
+        network.transports += 1
+        self.number = network.transports  # in place of a descriptor
         self.written = 0  # bytes that the program wrote...
         self.told = 0  # ...and that it was told
         if machine is not None:
@@ -319,8 +339,32 @@
                 self.machine.transports.pop(self, None)
             self._send_reset()
 
+    def orphan(self) -> None:
+        """Its process is no more, and another holds it: what the kernel had not taken is gone."""
+        self.written -= len(self._out)
+        self._out.clear()
+        self._protocol = None
+        self._due = self._writing_paused = False
+        self._reading = True
+        if self.machine is not None:
+            self.machine.transports.pop(self, None)
+            self.machine = None
+        self._context = self._network.nowhere  # a close by its heir must not wait for the dead
+
+    def fileno(self) -> int:
+        """In place of a descriptor."""
+        return self.number
+
+    def seen(self) -> Seen | None:
+        """What the kernel knows of it; None if it is gone."""
+        if self._reset or self._gone:
+            return None
+        unread = sum(map(len, self._inbox))
+        quiet = self._loop.time() - self._heard if unread else 0.0
+        return Seen(self.written, self.told, self._eof_came, unread, quiet)
+
     def belongs(self, machine: Machine) -> None:
-        """A process has accepted it, on a listener that several hold."""
+        """A process has accepted it, on a listener that several hold, or was handed it."""
         self.machine = machine
         self._context = machine.context()
         machine.transports[self] = None
@@ -370,6 +414,7 @@
             self._send_reset()  # nobody is there any more
             return
         self._inbox.append(segment)
+        self._heard = self._loop.time()
         self._read_soon()
 
     def _eof_arrives(self) -> None:
@@ -596,6 +641,7 @@
         self.machines: dict[str, Machine] = {}
         self.links: dict[str, Link] = {}  # where a machine's differs from the usual
         self.lazy = 0.0  # seconds that a program may take to see what has come
+        self.transports = 0  # since the beginning
         self.silent: set[str] = set()
         self.cuts: set[frozenset[str]] = set()
         self.lost: dict[VirtualTransport, None] = {}  # something that they sent was lost
@@ -749,12 +795,63 @@
         self._holders.pop(row, None)
 
 
+WRITTEN = 0.05  # seconds until what is kept is on a virtual disk
+
+
+class Disk:
+    """What is kept of one instance, over the lives of its processes."""
+
+    def __init__(self) -> None:
+        self.records: dict[str, dict[str, Any]] = {}
+        self._older: dict[str, dict[str, Any]] = {}
+
+    def copy(self) -> None:
+        """Keep a copy of all."""
+        self._older = dict(self.records)
+
+    def put_back(self) -> None:
+        """All is as it was at the copy."""
+        self.records = dict(self._older)
+
+    def read(self) -> dict[str, Record]:
+        """What is there."""
+        return {kind: read_record(form) for kind, form in self.records.items()}
+
+
+class DiskKeeper:
+    """One process's way to its disk; what it has not written when it dies is lost."""
+
+    def __init__(self, disk: Disk, owner: Owner, surroundings: VirtualSurroundings, machine: Machine | None) -> None:
+        self._disk = disk
+        self._owner = owner
+        self._surroundings = surroundings
+        self._machine = machine
+
+    def put(self, kind: str, body: object) -> None:
+        """Have a form written soon."""
+        form = Record(kind, 1, self._owner, self._surroundings.moment(), body).write()
+        self._surroundings.loop.call_later(WRITTEN, self._write, kind, orjson.loads(orjson.dumps(form)))
+
+    def _write(self, kind: str, form: dict[str, Any]) -> None:
+        if self._machine is None or not self._machine.dead:
+            self._disk.records[kind] = form
+
+    async def close(self) -> None:
+        """Nothing is held open."""
+
+
 class VirtualSurroundings:
     """What `cometusher.seam.Network` asks for, out of a virtual network; one for each proxy."""
 
-    def __init__(self, network: VirtualNetwork, epoch: float = 1.6e9, memory: Memory | None = None) -> None:
+    def __init__(
+        self, network: VirtualNetwork, epoch: float = 1.6e9, memory: Memory | None = None, disk: Disk | None = None,
+        covers: Callable[[Covered], Door] | None = None,
+    ) -> None:
         self._network = network
         self._memory = memory
+        self._disk = disk or Disk()
+        self._covers = covers
+        self.loop = network.loop
         self.epoch = epoch  # Unix time at the world's beginning; a change of it is a step of the wall clock
 
     def unix_time(self) -> float:
@@ -777,7 +874,11 @@
         return SharedListener(listener, machine)
 
     async def attach(self, connection: Any, protocol: Callable[[], asyncio.Protocol]) -> None:
-        """Give an accepted connection to its protocol."""
+        """Give an accepted connection, or one that was handed over, to its protocol."""
+        machine = MACHINE.get()
+        if connection.machine is None and machine is not None:
+            machine.take()
+            connection.belongs(machine)
         connection.attach(protocol())
 
     def pending(self, transport: asyncio.Transport) -> Callable[[], bool]:
@@ -785,6 +886,34 @@
         assert isinstance(transport, VirtualTransport)
         return lambda: transport.pending
 
+    def keep(self, returning: Returning) -> tuple[dict[str, Record], Kept]:
+        """What is kept of an instance, and where to keep more."""
+        return self._disk.read(), DiskKeeper(self._disk, returning.owner, self, MACHINE.get())
+
+    def moment(self) -> Moment:
+        """Now, by the clock that may step and by the one that does not."""
+        return Moment(self.unix_time(), "virtual", self._network.loop.time())
+
+    def cover(self, covered: Covered) -> Door:
+        """Where a process notes what it has in hand; raises OSError in a world without."""
+        if self._covers is None:
+            raise _fault(errno.ENOSYS)
+        return self._covers(covered)
+
+    def named(self, transport: asyncio.Transport) -> tuple[int, int]:
+        """By its number, which no other has."""
+        assert isinstance(transport, VirtualTransport)
+        return transport.number, transport.number
+
+    def look(self, connection: Any, name: int, opened_here: bool) -> Seen | None:
+        """The kernel's account of a connection."""
+        assert isinstance(connection, VirtualTransport)
+        return connection.seen() if connection.number == name else None
+
+    def reset(self, connection: Any) -> None:
+        """By RST."""
+        connection.die()
+
     def share(self, folder: str) -> Handover:
         """What processes of one proxy share; raises OSError."""
         machine = MACHINE.get()
--- a/cometusher/virtual/script.py
+++ b/cometusher/virtual/script.py
@@ -73,6 +73,8 @@
     sockets: int = 96
     copies: int = 1  # whether a second copy may go out...
     cancel: int = 1  # ...and an attempt be given up early
+    keeps: int = 0  # whether proxies come back as under a supervisor that has it switched on, with what they kept
+    covers: int = 0  # whether work in hand of the first tier is taken over from proxies that are killed
     shared: int = 0  # whether listeners are the platform's, and processes of one proxy share a folder
     lazy: float = 0.0  # seconds that a program may take to see what has come
     requests: tuple[Ask, ...] = ()
@@ -109,8 +111,12 @@
     "crowd": (("proxy",), lambda rng: float(rng.randint(10, 120))),  # connections that say nothing
     "halves": (("proxy",), lambda rng: float(rng.randint(5, 60))),  # connections with half a request
     "twins": (("proxy",), lambda rng: float(rng.randint(1, 8))),  # strangers use the ids of so many open requests
+    "blow": (("proxy",), lambda rng: round(rng.uniform(0.3, 1.0), 2)),  # such a part of the first tier, at once
+    "forget": (("proxy",), None),  # killed, and what it kept is lost
+    "rollback": (("proxy",), None),  # killed, and what it kept is as it was in the middle of the time before
     "burst": (("proxy",), lambda rng: float(rng.randint(20, 60))),  # requests at once, told by their own lines
 }
+RETURNS = ("blow", "forget", "rollback")  # drawn apart: the plans of older seeds stay as they were
 INSTANT = ("reload", "step", "burst", "upgrade", "twins")
 LONG = (100_000, 300_000, 900_000)  # bytes of messages that go on while they come...
 LONG_FROM = 64 * 1024  # ...which those above this do...
@@ -162,14 +168,53 @@
         plan = replace(plan, cut=0.0)
     if any(fault.what == "upgrade" for fault in plan.faults):
         plan = replace(plan, shared=1)
-    return replace(plan, requests=tuple(_asks(rng, plan)))
+    plan = replace(plan, requests=tuple(_asks(rng, plan)))
+    if plan.shared:
+        return plan
+    plan = _returns(Random(f"returns {world} {seed}"), plan)
+    return plan if plan.keeps else _covered(Random(f"covers {world} {seed}"), plan)
+
+
+def _returns(rng: Random, plan: Plan) -> Plan:
+    """A part of the worlds keeps state and has blows; not those with upgrades, whose processes share otherwise."""
+    if rng.random() >= 0.3:
+        return plan
+    found = list(plan.faults)
+    for _ in range(rng.choice((1, 1, 2, 3))):
+        what = rng.choice(RETURNS)
+        at = round(rng.uniform(0.8, plan.seconds - 0.5), 3)
+        amount = FAULTS[what][1]
+        whom = f"proxy/{0 if what == 'blow' else rng.randrange(counts(plan)['proxy'])}"
+        seconds = round(rng.choice((0.05, 0.3, 1.0)) * rng.uniform(0.5, 1.5), 3)
+        found.append(Fault(at, what, whom, seconds, amount(rng) if amount else 0.0))
+        if rng.random() < 0.5:
+            found.append(Fault(max(0.1, round(at - 0.1, 3)), "kill", "discovery/0", round(rng.uniform(0.5, 3.0), 3)))
+    return replace(plan, keeps=1, faults=tuple(sorted(found, key=lambda fault: fault.at)))
+
+
+def _covered(rng: Random, plan: Plan) -> Plan:
+    """A part of the worlds with several proxies of the first tier hands work in hand on when they are killed."""
+    count = plan.zones * plan.proxies
+    if plan.tiers > 1 or count < 2 or rng.random() >= 0.5:
+        return plan
+    found = list(plan.faults)
+    for _ in range(rng.choice((1, 2, 3, 5))):
+        at = round(rng.uniform(0.4, plan.seconds - 0.5), 3)
+        whom = rng.randrange(count)
+        found.append(Fault(at, "kill", f"proxy/{whom}", round(rng.choice((0.05, 0.3, 1.0)), 3)))
+        if rng.random() < 0.4:
+            # Heirs that are paused, and killed in the middle of what they inherit.
+            heir = (whom + 1 + rng.randrange(count - 1)) % count
+            what = rng.choice(("pause", "kill"))
+            found.append(Fault(round(at + rng.uniform(0.0, 0.08), 3), what, f"proxy/{heir}", 0.2))
+    return replace(plan, covers=1, faults=tuple(sorted(found, key=lambda fault: fault.at)))
 
 
 def _faults(rng: Random, plan: Plan) -> list[Fault]:
     many = counts(plan)
     found: list[Fault] = []
     for _ in range(rng.choice((0, 1, 2, 3, 4, 5, 7))):
-        what = rng.choice(sorted(FAULTS))
+        what = rng.choice(sorted(set(FAULTS) - set(RETURNS)))
         whose, amount = FAULTS[what]
         whom = rng.choice(whose)
         at = round(rng.uniform(0.3, plan.seconds - 0.5), 3)
@@ -232,7 +277,7 @@
 _HEADS: dict[str, tuple[str, ...]] = {
     "world": ("seed", "seconds"), "shape": ("zones", "tiers", "proxies", "backends"),
     "link": ("latency", "jitter", "bandwidth", "cut", "lazy"),
-    "limits": ("sockets", "copies", "cancel", "shared"),
+    "limits": ("sockets", "copies", "cancel", "shared", "keeps", "covers"),
 }
 _ASK = {"zone": int, "budget": float, "want": int, "body": int, "leaves": float, "slow": float, "dawdle": float,
         "again": int}
--- a/cometusher/virtual/walk.py
+++ b/cometusher/virtual/walk.py
@@ -24,7 +24,9 @@
     "Entry.asked": (12, 0), "Entry.chance": (12, 0), "Entry.served": (12, 0), "Entry.quota": (2, 0),
     "Entry.quota_at": (2, 0),
     "Entry.pending": (64, 0), "Entry.young": (64, 0), "Request.attempts": (3, 0),  # until the next request comes
+    "Returning.standing": (5, 0), "Returning.standing[]": (0, 1), "Returning.standing[][]": (3, 0),  # one form
     "Ledger._values": (33, 0), "OpenIds._values": (8192, 0), "OpenIds._free": (1023, 0),
+    "Hand.done": (8, 0), "Book._free": (1024, 0), "Book._blocks": (2048, 0),
 }
 
 
