--- a/tests/fleetrig.py
+++ b/tests/fleetrig.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import os
 import signal
 import subprocess
 import sys
 import time
-from collections.abc import Callable, Iterator, Sequence
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator, Sequence
 from pathlib import Path
 from typing import Any
 
 import orjson
 from rig import PATIENCE, SETTINGS
 
+from cometusher.drill.world import Told, World, until
 from cometusher.fleet.control import ControlError, NoSupervisor, ask
 from cometusher.fleet.identity import read_stat
 from standins.ports import free_ports
@@ -28,6 +30,41 @@
 }
 
 
+def run(test: Callable[[], Coroutine[Any, Any, None]]) -> None:
+    """A test that is a coroutine."""
+    asyncio.run(test())
+
+
+async def come(condition: Callable[[], Any], what: str) -> None:
+    """Wait for what must become true of a drill's world."""
+    assert await until(condition, 2 * PATIENCE), f"never: {what}"
+
+
+@contextlib.asynccontextmanager
+async def running(world: World, rate: float, extra: str = "") -> AsyncIterator[World]:
+    """A drill's world, and nothing left of it."""
+    try:
+        await world.start(rate, extra)
+        yield world
+    finally:
+        await world.stop()
+
+
+async def asked(world: World, count: int) -> list[Told]:
+    """So many more requests, whatever became of them."""
+    assert world.load is not None
+    rows = world.load.told
+    before = len(rows)
+    await come(lambda: len(rows) >= before + count, "requests")
+    return rows[before:]
+
+
+def nothing_wrong(world: World) -> None:
+    """No effect twice, no answer to another's request, and no second one."""
+    assert world.load is not None
+    assert (world.twice(), world.load.wrong, world.load.second) == (0, 0, 0)
+
+
 def eventually(condition: Callable[[], Any], what: str = "") -> Any:
     """Wait for what must become true; returns it."""
     until = time.monotonic() + WAIT
--- a/tests/loopback/test_fleet_identity.py
+++ b/tests/loopback/test_fleet_identity.py
@@ -13,7 +13,7 @@
 import pytest
 from fleetrig import WAIT, FleetRig, eventually, gone
 
-from cometusher.fleet.identity import Identity, boot_id
+from cometusher.fleet.identity import Identity, boot_id, read_stat
 
 
 def stranger() -> subprocess.Popen[bytes]:
@@ -55,6 +55,30 @@
     assert other.wait(timeout=WAIT) == -signal.SIGKILL
 
 
+#: Listens, and ends its first thread alone: a zombie by its state, while the other thread keeps the listener open.
+HALF_ENDED = """
+import ctypes, socket, sys, threading, time
+listener = socket.create_server(("127.0.0.1", int(sys.argv[1])))
+threading.Thread(target=time.sleep, args=(1000,)).start()
+ctypes.CDLL(None).syscall(60 if sys.argv[2] == "x86_64" else 93, 0)  # exit(2), of the calling thread only
+"""
+
+
+def test_a_process_whose_last_thread_has_not_ended_is_waited_for(fleet: FleetRig) -> None:
+    """As a killed one whose store's thread waits for the disk: its listeners are not free before."""
+    fleet.add("a", mode="ok")
+    other = subprocess.Popen([sys.executable, "-c", HALF_ENDED, str(fleet.port("a")), os.uname().machine])
+    eventually(lambda: (stat := read_stat(other.pid)) is not None and stat.state == "Z")
+    identity = Identity.of(other.pid)
+    assert identity is not None and identity.alive()
+    fleet.state.mkdir(mode=0o700)
+    (fleet.state / "instances.json").write_bytes(orjson.dumps([identity.as_values() | {"name": "a"}]))
+    fleet.policy["stop_within"] = 0.2
+    fleet.start()
+    assert other.wait(timeout=WAIT) == -signal.SIGKILL
+    assert not identity.alive()
+
+
 @pytest.mark.parametrize("content", [b"", b"{\"pid\": 12", b"\xff\x00", b"[]", b"{\"pid\": 1}", b"{\"pid\": -1}"])
 def test_broken_files_are_no_obstacle(fleet: FleetRig, content: bytes) -> None:
     fleet.state.mkdir(mode=0o700)
--- a/tests/loopback/test_fleet_lives.py
+++ b/tests/loopback/test_fleet_lives.py
@@ -204,9 +204,10 @@
     fleet.add("a", "b")
     process = fleet.start()
     held = fleet.pids()["a"]
-    os.kill(held, signal.SIGSTOP)
     process.kill()
     process.wait()
+    # Not before: the kernel lets go on what is stopped in a group that becomes an orphan (setpgid(2), SIGCONT).
+    os.kill(held, signal.SIGSTOP)
 
     def let_go() -> None:
         end = time.monotonic() + 20.0
--- /dev/null
+++ b/tests/unit/test_accounts.py
@@ -0,0 +1,70 @@
+"""The kernel's account of a connection is of one moment, whatever arrives while it is asked for."""
+
+from __future__ import annotations
+
+import socket
+import termios
+from typing import Any
+
+import pytest
+
+from cometusher.inhand import accounts
+from cometusher.inhand.accounts import ACKED, ACKED_AT, ESTABLISHED, HEARD, HEARD_AT, look, name_by
+
+
+class Kernel:
+    """A connection on which something arrives at each look, so many times."""
+
+    def __init__(self, arrivals: int) -> None:
+        self.left = arrivals
+        self.acked, self.unsent, self.received, self.unread = 100, 50, 70, 0
+
+    def _arrives(self) -> None:
+        if self.left:
+            self.left -= 1
+            self.acked, self.unsent = self.acked + 10, self.unsent - 10
+            self.received, self.unread = self.received + 5, self.unread + 5
+
+    def getsockopt(self, *asked: Any) -> bytes:
+        info = bytearray(ACKED_AT + ACKED.size)
+        info[0] = ESTABLISHED
+        HEARD.pack_into(info, HEARD_AT, 40)
+        ACKED.pack_into(info, ACKED_AT, self.acked, self.received)
+        self._arrives()
+        return bytes(info)
+
+    def getsockname(self) -> tuple[str, int]:
+        return ("127.0.0.1", 1)
+
+    def getpeername(self) -> tuple[str, int]:
+        return ("127.0.0.1", 2)
+
+
+def queue(kernel: Any, which: int) -> int:
+    return int(kernel.unsent if which == termios.TIOCOUTQ else kernel.unread)
+
+
+@pytest.mark.parametrize("arrivals", [0, 1, 3])
+def test_what_arrives_between_two_calls_is_counted_once(arrivals: int, monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(accounts, "_queue", queue)
+    kernel: Any = Kernel(arrivals)
+    seen = look(kernel, name_by(kernel.getsockname(), kernel.getpeername()), False)
+    assert seen is not None and (seen.written, seen.read) == (150, 70)
+    assert (seen.unread, seen.quiet) == (5 * arrivals, 0.04 if arrivals else 0.0)
+
+
+def test_a_connection_that_never_rests_tells_nothing(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr(accounts, "_queue", queue)
+    kernel: Any = Kernel(10**6)
+    assert look(kernel, name_by(kernel.getsockname(), kernel.getpeername()), False) is None
+
+
+def test_of_a_real_connection_all_that_programs_did_is_told() -> None:
+    with socket.create_server(("127.0.0.1", 0)) as server, socket.create_connection(server.getsockname()) as near:
+        far, _ = server.accept()
+        with far:
+            far.sendall(b"x" * 30)
+            near.sendall(b"y" * 20)
+            assert far.recv(5) == b"yyyyy"
+            seen = look(far, accounts.name_of(far), False)
+            assert seen is not None and (seen.written, seen.read, seen.unread) == (30, 5, 15) and not seen.ended
--- /dev/null
+++ b/tests/unit/test_evidence.py
@@ -0,0 +1,76 @@
+"""Evidence that was kept is judged again exactly as it was the first time, and its file is bounded."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import pytest
+
+from cometusher.fleet.evidence import LINES, Look, Recorder, judge_again, read_evidence
+from weldroute.siblings import Key
+from weldroute.vigil import Act, Do, Evidence, Vigil, VigilPolicy
+
+EVERY = 0.05
+
+
+def looks(count: int) -> list[Look]:
+    """Four processes; one of them falls silent."""
+    found = []
+    for i in range(count):
+        now = 10.0 + EVERY * i
+        seen: dict[Key, Evidence] = {(f"p{n}", 1): Evidence(now, ran=0.001 * i, progress=i) for n in range(4)}
+        if i > 100:
+            seen["p3", 1] = Evidence(10.0 + EVERY * 100, ran=0.1, progress=100)
+        found.append(Look(now, EVERY, 4, seen))
+    return found
+
+
+def test_what_was_kept_is_judged_as_it_was_and_otherwise_by_other_thresholds(tmp_path: Path) -> None:
+    path, seen = tmp_path / "evidence", looks(200)
+    recorder, vigil = Recorder(path, 2**20), Vigil(VigilPolicy())
+    first: list[tuple[float, Act]] = []
+    for look in seen:
+        recorder.keep(look)
+        first += [(look.at, act) for act in vigil.look(look.at, look.seen, look.wanted, look.every)]
+    recorder.flush()
+    assert list(read_evidence(path)) == seen
+    assert [act.do for _, act in first] == [Do.RELIEVE, Do.REPLACE]
+    assert list(judge_again(read_evidence(path), VigilPolicy())) == first
+    later = list(judge_again(read_evidence(path), VigilPolicy(suspect=60.0, certain=80.0)))
+    assert later[0][0] > first[0][0]
+
+
+def test_a_file_is_never_larger_than_it_may_be(tmp_path: Path) -> None:
+    path = tmp_path / "evidence"
+    recorder = Recorder(path, 60_000)
+    for look in looks(20 * LINES):
+        recorder.keep(look)
+    recorder.flush()
+    assert 20_000 < path.stat().st_size <= 60_000
+    assert len(list(read_evidence(path))) % LINES == 0
+
+
+def test_a_line_that_was_cut_ends_it_and_one_that_is_nonsense_is_named(tmp_path: Path) -> None:
+    path = tmp_path / "evidence"
+    recorder = Recorder(path, 2**20)
+    for look in looks(LINES):
+        recorder.keep(look)
+    data = path.read_bytes()
+    path.write_bytes(data[:-7])
+    assert len(list(read_evidence(path))) == LINES - 1
+    lines = data.splitlines(keepends=True)
+    lines[4] = b'[1, 2, 3, [["p0", 1, "x", 2, 3, 4, 5, 6, 7, 8, 9]]]\n'
+    path.write_bytes(b"".join(lines))
+    with pytest.raises(ValueError, match=r"evidence:5: "):
+        list(read_evidence(path))
+
+
+def test_a_folder_that_is_gone_ends_the_keeping_and_nothing_else(tmp_path: Path) -> None:
+    path = tmp_path / "there" / "evidence"
+    path.parent.mkdir()
+    recorder = Recorder(path, 2**20)
+    path.unlink()
+    path.parent.rmdir()
+    for look in looks(3 * LINES):
+        recorder.keep(look)
+    assert not path.exists()
--- /dev/null
+++ b/tests/unit/test_schemas.py
@@ -0,0 +1,46 @@
+"""The published schemas are what the readers ask; files of the project keep to them, and broken ones do not."""
+
+from __future__ import annotations
+
+import tomllib
+from pathlib import Path
+from typing import Any
+
+import orjson
+import pytest
+from jsonschema import Draft202012Validator
+
+from cometusher.schemas import READERS, schema
+
+ROOT = Path(__file__).parent.parent.parent
+FILES = [("fleet", ROOT / "deploy" / "fleet.toml")]
+FILES += [("drill", path) for path in sorted((ROOT / "deploy" / "drills").glob("*.toml"))]
+
+
+def faults(name: str, values: dict[str, Any]) -> list[str]:
+    return [fault.json_path for fault in Draft202012Validator(schema(name)).iter_errors(values)]
+
+
+@pytest.mark.parametrize("name", sorted(READERS))
+def test_what_is_published_is_what_is_read(name: str) -> None:
+    published = orjson.loads((ROOT / "deploy" / "schema" / f"{name}.json").read_bytes())
+    assert published == schema(name), "python -m cometusher.schemas deploy/schema"
+    Draft202012Validator.check_schema(published)
+
+
+@pytest.mark.parametrize(("name", "path"), FILES, ids=[path.stem for _, path in FILES])
+def test_the_projects_own_files_keep_to_them(name: str, path: Path) -> None:
+    values = tomllib.loads(path.read_text())
+    assert not faults(name, values)
+    if name == "fleet":
+        assert not faults(name, values | {"comeback": {"list_for": 60.0, "herd_share": 0.5}})
+
+
+@pytest.mark.parametrize(("table", "key", "value"), [
+    ("comeback", "multiple", 0.5), ("comeback", "lists_for", 1.0), ("fleet", "spawn", "thread"),
+    ("policy", "jitter", "a"),
+])
+def test_what_the_reader_refuses_breaks_the_schema(table: str, key: str, value: Any) -> None:
+    values = tomllib.loads((ROOT / "deploy" / "fleet.toml").read_text())
+    values.setdefault(table, {})[key] = value
+    assert [fault for fault in faults("fleet", values) if fault.startswith(f"$.{table}")]
