Instances are watched from their start to their end, and a wait for a processor as it lasts

Need: two hard cases of stalls had no test. Seen with them: (1) an old process that is stopped while it drains beside the fresh one was in nobody's sight until its time to end was over, and its work with it; (2) one that is stopped as it starts kept its callers waiting for ready_within; (3) instances that get nearly no processor (SCHED_IDLE beside two loops on one core) were replaced as hung. Cause of 3, by reading schedstat beside the runs: the kernel counts a wait for a processor when it is over, so that a wait of a second under way was silence. Lines at fault: Supervisor.watched (only ready ones), Vigil._weigh.

Change: evidence carries how far a process is (Life) and whether it is ready to run; one that ends and stalls is killed at once, others accept for one that does not get ready while most serve, and a wait under way is taken off. fleet.py takes one that is ready to run for busy, not hung.

--- a/cometusher/fleet/evidence.py
+++ b/cometusher/fleet/evidence.py
@@ -10,13 +10,13 @@
 
 import logging
 from collections.abc import Iterator, Mapping
-from dataclasses import astuple, dataclass
+from dataclasses import astuple, dataclass, replace
 from pathlib import Path
 
 import orjson
 
 from weldroute.siblings import Key
-from weldroute.vigil import Act, Evidence, Vigil, VigilPolicy
+from weldroute.vigil import Act, Evidence, Life, Vigil, VigilPolicy
 
 log = logging.getLogger(__name__)
 
@@ -46,7 +46,7 @@
         """One more."""
         if self._left <= 0:
             return
-        rows = [[*key, *astuple(evidence)] for key, evidence in look.seen.items()]
+        rows = [[*key, *astuple(evidence)] for key, evidence in look.seen.items()]  # an Enum is written as its value
         self._lines.append(orjson.dumps([look.at, look.every, look.wanted, rows]) + b"\n")
         if len(self._lines) >= LINES:
             self.flush()
@@ -77,7 +77,10 @@
             return
         try:
             at, every, wanted, rows = orjson.loads(line)
-            seen = {(str(name), int(generation)): Evidence(*rest) for name, generation, *rest in rows}
+            seen = {
+                (str(name), int(generation)): replace(Evidence(*rest), life=Life(life))
+                for name, generation, *rest, life in rows
+            }
             yield Look(float(at), float(every), int(wanted), seen)
         except (orjson.JSONDecodeError, TypeError, ValueError) as fault:
             raise ValueError(f"{path}:{number}: {fault}") from None
--- a/cometusher/fleet/identity.py
+++ b/cometusher/fleet/identity.py
@@ -43,6 +43,9 @@
     threads: int  # that have not ended; 1 for a zombie of which nothing is left
 
 
+RUNNABLE = "R"  # a state: it runs, or waits for a processor; all others wait for something else
+
+
 def read_stat(pid: int) -> Stat | None:
     """None if there is no such process."""
     try:
@@ -54,6 +57,18 @@
     return Stat(rest[0], int(rest[1]), int(rest[2]), cpu, int(rest[19]), int(rest[17]))
 
 
+def read_schedule(pid: int) -> tuple[float, float]:
+    """Seconds of processor time, and of waiting for it, of a process's first thread, to the nanosecond.
+
+    schedstat of proc(5); zeros if the process is gone, or the kernel does not count.
+    """
+    try:
+        ran, waited, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
+    except (OSError, ValueError):
+        return 0.0, 0.0
+    return int(ran) / 1e9, int(waited) / 1e9
+
+
 @dataclass(frozen=True, slots=True)
 class Identity:
     """Exactly one process."""
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -27,7 +27,7 @@
 from cometusher.fleet import process
 from cometusher.fleet.collector import Sink, SinkHandler, Stream, Target
 from cometusher.fleet.control import ControlError, ControlServer
-from cometusher.fleet.identity import Held, Identity, StateLock, read_stat
+from cometusher.fleet.identity import RUNNABLE, Held, Identity, StateLock, read_stat
 from cometusher.fleet.listeners import Listeners, Taken, passed_sockets
 from cometusher.fleet.notify import ServiceManager
 from cometusher.fleet.process import Child
@@ -286,7 +286,7 @@
             child = self.children.get((name, generation))
             stat = read_stat(child.pid) if child is not None else None
             if stat is not None:
-                self.fleet.cpu(now, name, generation, stat.cpu)
+                self.fleet.cpu(now, name, generation, stat.cpu, stat.state == RUNNABLE)
         self._do(self.fleet.tick(now))
         if not self._ended.is_set():
             self.loop.call_later(TICK, self._tick)
@@ -388,9 +388,13 @@
 
     # ---- what the watch asks for: `cometusher.fleet.watch.Hands` --------------------------
 
-    def watched(self) -> list[Child]:
-        """Processes that are ready, beat, and are not told to end."""
-        return [child for child in self._ready_ones() if child.row >= 0]
+    def watched(self) -> list[tuple[Child, Phase]]:
+        """Processes that beat or are about to, and how far they are.
+
+        None while the fleet ends: what a killed one leaves then nobody inherits, and it may yet answer by itself.
+        """
+        ones = self._in_phases() if not self.fleet.ending else ()
+        return [(child, phase) for child, phase in ones if child.row >= 0]
 
     def wanted(self) -> int:
         """How many instances should run."""
@@ -418,19 +422,19 @@
         """Have a process killed, and followed by another."""
         self._do(self.fleet.stalled(self.loop.time(), *key, why))
 
-    def _ready_ones(self) -> Iterator[Child]:
+    def _in_phases(self) -> Iterator[tuple[Child, Phase]]:
         for (name, generation), child in self.children.items():
             instance = self.fleet.instances.get(name)
             at = instance.find(generation) if instance is not None else None
-            if at is not None and at.phase is Phase.READY:
-                yield child
+            if at is not None:
+                yield child, at.phase
 
     def _heirs(self, tier: int) -> list[tuple[int, int]]:
         """Who could inherit in a tier: processes, and the requests that they have in hand."""
         found = []
-        for child in self._ready_ones():
+        for child, phase in self._in_phases():
             one = self.spec.instances.get(child.name)
-            if child.holding is not None and one is not None and one.tier == tier:
+            if phase is Phase.READY and child.holding is not None and one is not None and one.tier == tier:
                 found.append((child.holding.process, int(child.figures.get("open", 0))))
         return [] if self.fleet.ending else found
 
--- a/cometusher/fleet/watch.py
+++ b/cometusher/fleet/watch.py
@@ -10,20 +10,21 @@
 import select
 import socket
 from collections.abc import Collection, Iterable
-from pathlib import Path
 from typing import Any, Protocol
 
 from cometusher.fleet.evidence import Look, Recorder
-from cometusher.fleet.identity import read_stat
+from cometusher.fleet.identity import RUNNABLE, read_schedule, read_stat
 from cometusher.fleet.pulse import BOARD, Board
+from weldroute.fleet import Phase
 from weldroute.siblings import Account, Comparison, Key
-from weldroute.vigil import Act, Do, Evidence, Vigil, VigilPolicy
+from weldroute.vigil import Act, Do, Evidence, Life, Vigil, VigilPolicy
 
 log = logging.getLogger(__name__)
 
 EVERY = 0.05  # seconds between looks
 ACCEPTS = 64  # connections that are accepted for another at one wake-up
 STOPPED = "Tt"  # states of proc(5)
+LIVES = {Phase.STARTING: Life.STARTING, Phase.READY: Life.SERVING, Phase.LEAVING: Life.LEAVING}
 
 
 class One(Protocol):
@@ -38,8 +39,8 @@
 class Hands(Protocol):
     """What the supervisor does for the watch."""
 
-    def watched(self) -> Iterable[One]:
-        """Processes that are ready, and meant to be."""
+    def watched(self) -> Iterable[tuple[One, Phase]]:
+        """Processes that beat, or are about to, and how far they are."""
 
     def wanted(self) -> int:
         """How many instances the fleet should have."""
@@ -57,15 +58,6 @@
         """Have a process killed and followed by another."""
 
 
-def schedule(pid: int) -> tuple[float, float]:
-    """Seconds of processor time, and of waiting for it (schedstat of proc(5)); zeros if the process is gone."""
-    try:
-        ran, waited, _ = Path(f"/proc/{pid}/schedstat").read_text().split()
-    except (OSError, ValueError):
-        return 0.0, 0.0
-    return int(ran) / 1e9, int(waited) / 1e9
-
-
 class Watch:
     """One fleet's."""
 
@@ -120,28 +112,33 @@
         if self._ended:
             return
         now = self._loop.time()  # the machine's clock, as beats are
-        ones = list(self._hands.watched())
-        waits = self._waiting(now, [one.name for one in ones])
+        ones = [(one, LIVES[phase]) for one, phase in self._hands.watched() if phase in LIVES]
+        waits = self._waiting(now, {one.name for one, _ in ones})
         seen, accounts, rows = {}, {}, {}
-        for one in ones:
+        for one, life in ones:
             key = one.name, one.generation
             rows[key] = one.row
-            accounts[key] = account = self.board.account(one.row, self._hands.tier(one.name))
-            seen[key] = self._evidence(one, waits.get(one.name, 0.0), account)
+            account = self.board.account(one.row, self._hands.tier(one.name))
+            if life is Life.SERVING:
+                accounts[key] = account
+            seen[key] = self._evidence(one, life, waits.get(one.name, 0.0), account)
         if self.recorder is not None:
             self.recorder.keep(Look(now, EVERY, self._hands.wanted(), seen))
         for act in self.vigil.look(now, seen, self._hands.wanted(), EVERY, accounts):
             self._do(act, rows[act.key])
         self._loop.call_later(EVERY, self._look)
 
-    def _evidence(self, one: One, waits: float, account: Account) -> Evidence:
+    def _evidence(self, one: One, life: Life, waits: float, account: Account) -> Evidence:
         stat = read_stat(one.pid)
-        ran, starved = schedule(one.pid)
+        ran, starved = read_schedule(one.pid)
         stopped = stat is not None and stat.state in STOPPED
         progress = account.answered + sum(account.missed)
-        return Evidence(self.board.turned(one.row), stopped, ran, starved, waits, progress)
+        # Who was told to end has left what waits there to others.
+        waits = 0.0 if life is Life.LEAVING else waits
+        runnable = stat is not None and stat.state == RUNNABLE
+        return Evidence(self.board.turned(one.row), stopped, ran, starved, waits, progress, runnable, life)
 
-    def _waiting(self, now: float, names: list[str]) -> dict[str, float]:
+    def _waiting(self, now: float, names: Collection[str]) -> dict[str, float]:
         """For how long connections wait at listeners: as long as there is one at each look."""
         poller, found = select.poll(), {}
         for name in names:
@@ -217,8 +214,13 @@
         if key in self._silent or key in self._aside:
             return  # there is still a reason
         descriptor = self._relieved.pop(key, None)
-        if descriptor is not None:
-            self._loop.remove_reader(descriptor)
+        if descriptor is None:
+            return
+        self._loop.remove_reader(descriptor)
+        for other in [one for one, number in self._relieved.items() if number == descriptor]:
+            # Another process of the same name, while one follows the other.
+            del self._relieved[other]
+            self._relieve(other)
 
     def released(self, names: Collection[str]) -> None:
         """The listeners of these instances are about to be closed."""
--- a/tests/handrig.py
+++ b/tests/handrig.py
@@ -28,9 +28,11 @@
 class HandRig:
     """All of it."""
 
-    def __init__(self, folder: Path, instances: int, backends: int, takeover: bool = True) -> None:
+    def __init__(
+        self, folder: Path, instances: int, backends: int, takeover: bool = True, vigil: bool = False
+    ) -> None:
         self.folder = folder
-        self.fleet = Fleet(folder, "h", instances, 0, False, takeover)
+        self.fleet = Fleet(folder, "h", instances, 0, False, takeover, vigil)
         self.fleet.policy = dict(POLICY)
         self.hooks = folder / "hooks"
         self.hooks.mkdir()
@@ -154,11 +156,12 @@
 @contextlib.asynccontextmanager
 async def hand_rig(
     instances: int = 4, backends: int = 4, extra: str = "", takeover: bool = True,
-    settings: dict[str, Any] | None = None,
+    settings: dict[str, Any] | None = None, vigil: bool = False, **policy: float,
 ) -> AsyncIterator[HandRig]:
     """Nothing that a test started is left behind."""
     with tempfile.TemporaryDirectory(prefix="hand-") as folder:
-        rig = HandRig(Path(folder), instances, backends, takeover)
+        rig = HandRig(Path(folder), instances, backends, takeover, vigil)
+        rig.fleet.policy |= policy
         try:
             await rig.start(extra, settings)
             yield rig
--- a/tests/hooks/sitecustomize.py
+++ b/tests/hooks/sitecustomize.py
@@ -30,6 +30,13 @@
     from cometusher.inhand.hand import Hand
     from cometusher.proxy import Proxy
 
+    make = Proxy.__init__
+
+    def made(self: Any, *arguments: Any) -> None:
+        reached("starting")
+        make(self, *arguments)
+
+    Proxy.__init__ = made  # type: ignore
     up = CallerConnection.connection_made
     begin, take, end = Hand.__init__, Proxy.take, Proxy.attempt_ended
 
--- a/tests/loopback/test_stalled.py
+++ b/tests/loopback/test_stalled.py
@@ -6,18 +6,20 @@
 import contextlib
 import os
 import signal
-from collections.abc import AsyncIterator
+import subprocess
+import sys
+from collections.abc import AsyncIterator, Iterator
 from functools import partial
 from pathlib import Path
 
 import pytest
 from fleetrig import asked, come, nothing_wrong, run, running
-from handrig import HOOKS, environ
+from handrig import HOOKS, environ, hand_rig
 from rig import PATIENCE
 
 from cometusher.drill.world import MIXED, Fleet, World
 from cometusher.fleet.control import ask
-from cometusher.fleet.identity import read_stat
+from cometusher.fleet.identity import read_schedule, read_stat
 from standins.caller import Caller, request
 
 RATE = 80.0
@@ -25,17 +27,23 @@
 
 @contextlib.asynccontextmanager
 async def world(
-    folder: Path, count: int = 6, rate: float = RATE, lines: tuple[str, ...] = ()
+    folder: Path, count: int = 6, rate: float = RATE, lines: tuple[str, ...] = (), **policy: float
 ) -> AsyncIterator[tuple[World, Fleet]]:
     made = World(folder, 8, 0.03)
     made.kinds = MIXED
     fleet = made.add_fleet("f", count, 0, False, True, True)
-    fleet.vigil_lines = list(lines)
-    with environ(STALL_HOOKS="1", PYTHONPATH=str(HOOKS)):
+    fleet.vigil_lines, fleet.policy = list(lines), dict(policy)
+    hooks(folder).mkdir()
+    with environ(STALL_HOOKS="1", STAGE_HOOKS=str(hooks(folder)), PYTHONPATH=str(HOOKS)):
         async with running(made, rate):
             yield made, fleet
 
 
+def hooks(folder: Path) -> Path:
+    """Where a test says at which stage a process is to be stopped."""
+    return folder / "hooks"
+
+
 async def judged(fleet: Fleet, name: str, judgement: str) -> bool:
     return bool((await fleet.rows())[name]["vigil"].get("judgement") == judgement)
 
@@ -295,3 +303,124 @@
             nothing_wrong(w)
 
     run(test)
+
+
+def test_a_stall_in_the_middle_of_an_upgrade_leaves_its_work_to_an_heir() -> None:
+    """The old process drains beside the fresh one, with a request in hand, and is stopped for good. Its time to end
+    would be two minutes."""
+
+    async def test() -> None:
+        async with hand_rig(3, vigil=True, stop_within=120.0) as rig:
+            caller, rid = await rig.hold(0, "once")
+            old = (await rig.fleet.pids())["p0"]
+            rolling = asyncio.create_task(
+                asyncio.to_thread(ask, Path(rig.fleet.control), "restart", 3 * PATIENCE, names=["p0"])
+            )
+            await rig.come(partial(rig.fleet.replaced, "p0", old), "a fresh process beside the old one")
+            assert read_stat(old) is not None, "it drains, with the request in hand"
+            os.kill(old, signal.SIGSTOP)
+
+            async def adopted() -> bool:
+                return await rig.count("adopted") == 1
+
+            await rig.come(adopted, "an heir")
+            assert read_stat(old) is None, "it was reaped before"
+            rig.gate.set()
+            status, seen = await caller.answer()
+            assert status == 200 and seen.body.startswith(rid) and rig.times(rid) == 1
+            assert "1 of 1 done" in (await rolling)["text"]
+            assert (await rig.fleet.status())["vigil"]["replaced"] == 1
+
+    run(test)
+
+
+def test_a_process_that_is_stopped_as_it_starts_is_followed_by_another(tmp_path: Path) -> None:
+    """Its time to get ready would be two minutes, in which the kernel takes its callers and nobody answers."""
+
+    async def test() -> None:
+        async with world(tmp_path, 4, rate=40.0, ready_within=120.0) as (w, fleet):
+            assert w.load is not None
+            await asked(w, 30)
+            begin, before = len(w.load.told), await fleet.pids()
+            (hooks(tmp_path) / "p1.starting").write_text(str(int(signal.SIGSTOP)))
+            os.kill(before["p1"], signal.SIGKILL)
+            await come(partial(fleet.replaced, "p1", before["p1"]), "a fresh p1")
+            assert not (hooks(tmp_path) / "p1.starting").exists(), "one was stopped before it"
+            assert await counted(fleet, "replaced") == 1
+            await asked(w, 40)
+            assert not [one for one in w.load.told[begin:] if one.how == "lost"]
+            nothing_wrong(w)
+
+    run(test)
+
+
+def test_others_accept_for_a_process_that_does_not_get_ready(tmp_path: Path) -> None:
+    async def test() -> None:
+        lines = ("stopped_for = 120.0",)
+        async with world(tmp_path, 4, rate=5.0, lines=lines, ready_within=120.0) as (w, fleet):
+            before = (await fleet.pids())["p2"]
+            (hooks(tmp_path) / "p2.starting").write_text(str(int(signal.SIGSTOP)))
+            os.kill(before, signal.SIGKILL)
+            await come(lambda: not (hooks(tmp_path) / "p2.starting").exists(), "one that starts")
+            pid = (await fleet.pids())["p2"]
+            try:
+                reader, writer = await asyncio.open_connection("127.0.0.1", fleet.ports[2])
+                writer.write(request("report-view", budget="3000m", rid="s1"))
+                head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), PATIENCE)
+                assert head.startswith(b"HTTP/1.1 200"), head
+                assert await counted(fleet, "accepted_for_others") >= 1
+                writer.close()
+            finally:
+                os.kill(pid, signal.SIGCONT)
+            await come(partial(fleet.replaced, "p2", before), "ready")
+            await come(lambda: judged(fleet, "p2", "well"), "well")
+            assert (await fleet.pids())["p2"] == pid and await counted(fleet, "replaced") == 0
+            assert await counted(fleet, "relieved") == 0
+            nothing_wrong(w)
+
+    run(test)
+
+
+@pytest.mark.parametrize("judge", [True, False])
+def test_those_that_are_starved_are_not_ended_whether_or_not_their_judge_is_starved_too(
+    tmp_path: Path, judge: bool
+) -> None:
+    """All instances get what is left (SCHED_IDLE of sched(7)) of one core that loops take, for three seconds each."""
+
+    async def test() -> None:
+        async with world(tmp_path, 4, rate=40.0) as (w, fleet):
+            assert fleet.process is not None
+            await asked(w, 30)
+            before = await fleet.pids()
+            pids = [*before.values(), *([fleet.process.pid] if judge else [])]
+            core = max(os.sched_getaffinity(0))
+            for pid in pids:
+                os.sched_setaffinity(pid, {core})
+                os.sched_setscheduler(pid, os.SCHED_IDLE, os.sched_param(0))
+            with starving(core):
+                waited = {pid: read_schedule(pid)[1] for pid in pids}
+                await come(lambda: all(read_schedule(pid)[1] - waited[pid] > 3.0 for pid in pids), "short of time")
+            await come(lambda: all_well(fleet), "well again")
+            assert await fleet.pids() == before and await counted(fleet, "replaced") == 0, fleet.log()[-3000:]
+            nothing_wrong(w)
+
+    run(test)
+
+
+@contextlib.contextmanager
+def starving(core: int) -> Iterator[None]:
+    """Two loops that keep a core."""
+    loops = [subprocess.Popen([sys.executable, "-c", "while True: pass"]) for _ in range(2)]
+    try:
+        for loop in loops:
+            os.sched_setaffinity(loop.pid, {core})
+        yield
+    finally:
+        for loop in loops:
+            loop.kill()
+            loop.wait()
+
+
+async def all_well(fleet: Fleet) -> bool:
+    rows = (await fleet.rows()).values()
+    return bool(rows) and all(row["vigil"].get("judgement") == "well" for row in rows)
--- a/tests/unit/test_fleet_states.py
+++ b/tests/unit/test_fleet_states.py
@@ -497,3 +497,35 @@
     for key in sorted(world.alive):
         world.exit(*key, Exit(code=0))
     assert fleet.ended
+
+
+def test_one_that_stalls_while_it_ends_is_killed_before_its_time_and_one_that_starts_too() -> None:
+    world = World()
+    world.start()
+    world.ready("i0", 1)
+    world.begin(world.fleet.restart(world.now, ["i0"]))
+    world.do(world.fleet.stalled(world.now, "i0", 2, "stopped"))
+    assert world.told == [("i0", 2, How.KILL)], "a fresh one"
+    world.exit("i0", 2, Exit(signal=9))
+    world.begin(world.fleet.restart(world.now, ["i0"]))
+    world.ready("i0", 3)
+    assert world.told[1:] == [("i0", 1, How.END)]
+    world.do(world.fleet.stalled(world.now, "i0", 1, "stopped"))
+    assert world.told[2:] == [("i0", 1, How.KILL)]
+    assert any("stalled while it ended: stopped" in notice.text for notice in world.notices)
+    world.exit("i0", 1, Exit(signal=9))
+    assert world.fleet.view(world.now, "i0")["restarts"] == 0 and world.fleet.instances["i0"].state is State.READY
+
+
+def test_one_that_is_ready_to_run_and_gets_no_processor_is_not_hung() -> None:
+    world = World(policy=Policy(jitter=0.0, hang_after=1.0, busy_limit=20.0))
+    world.start()
+    world.ready("i0", 1)
+    begin = world.now
+    while world.now < begin + 10.0:
+        world.now += 0.1
+        world.fleet.cpu(world.now, "i0", 1, 0.0, True)
+        world.do(world.fleet.tick(world.now))
+    assert world.told == [] and world.fleet.instances["i0"].state is State.BUSY
+    world.pass_time(2.0)
+    assert world.told == [("i0", 1, How.KILL)], "asleep, it is"
--- a/tests/unit/test_vigil.py
+++ b/tests/unit/test_vigil.py
@@ -10,7 +10,7 @@
 import pytest
 
 from weldroute.siblings import Account, Key
-from weldroute.vigil import ACTED_FOR, Act, Do, Evidence, Judgement, Vigil, VigilPolicy, phi
+from weldroute.vigil import ACTED_FOR, Act, Do, Evidence, Judgement, Life, Vigil, VigilPolicy, phi
 
 EVERY = 0.05
 POLICY = VigilPolicy()
@@ -43,6 +43,13 @@
             self.acts += [(self.now, act) for act in acts]
         return [act for _, act in self.acts[first:]]
 
+    def follows(self, i: int) -> Key:
+        """Another process of a name, in place of the one that was there."""
+        name, generation = self.keys[i]
+        self.keys[i] = key = name, generation + 1
+        self.turned[key] = self.now
+        return key
+
     def silent(self, key: Key, stopped: bool = False, ran: float = 0.0, starved: float = 0.0) -> float:
         """It beats no more; `ran` and `starved` are what grows each second. Returns when that began."""
         begin, last = self.now, self.turned[key]
@@ -259,3 +266,89 @@
         acts += vigil.look(now, seen, 12, EVERY, accounts(keys, []))
     assert [act.do for act in acts[4:]] == [Do.RESTORE] * 4
     assert "all of its new connections" in vigil.explain(now, "p0")[-1][1]
+
+
+# ---- from the start of a process to its end ------------------------------------------------
+
+
+def test_what_a_start_takes_is_no_silence_and_others_accept_for_it_if_most_serve() -> None:
+    fleet = Fleet(8)
+    fleet.run(5.0)
+    key = fleet.follows(3)
+    fleet.evidence[key] = lambda now: Evidence(0.0, ran=1.0, life=Life.STARTING)
+    assert fleet.run(20.0) == [], "nobody waits for it"
+    fleet.evidence[key] = lambda now: Evidence(0.0, ran=1.0, waits=0.6, life=Life.STARTING)
+    assert [act.do for act in fleet.run(5.0)] == [Do.RELIEVE]
+    del fleet.evidence[key]
+    assert [act.do for act in fleet.run(5.0)] == [Do.RETURN], "it beats"
+
+
+def test_in_a_blow_nobody_accepts_for_those_that_start() -> None:
+    """The few that serve would get what waits for all."""
+    fleet = Fleet(8)
+    for key in fleet.keys[2:]:
+        fleet.evidence[key] = lambda now: Evidence(0.0, waits=0.6, life=Life.STARTING)
+    assert fleet.run(5.0) == []
+
+
+def test_one_that_is_stopped_as_it_starts_is_replaced() -> None:
+    fleet = Fleet(8)
+    fleet.run(5.0)
+    key = fleet.follows(3)
+    fleet.evidence[key] = lambda now: Evidence(0.0, stopped=True, life=Life.STARTING)
+    begin = fleet.now
+    fleet.run(2.0)
+    assert fleet.replaced(key) - begin < 0.6
+
+
+@pytest.mark.parametrize("stopped", [True, False])
+def test_one_that_stalls_while_it_ends_is_killed_and_nothing_is_accepted_for_it(stopped: bool) -> None:
+    fleet = Fleet(8)
+    fleet.run(5.0)
+    key = fleet.keys[3]
+    last = fleet.turned[key]
+    fleet.evidence[key] = lambda now: Evidence(last, stopped, life=Life.LEAVING)
+    fleet.run(3.0)
+    assert fleet.done(key) == [Do.REPLACE]
+
+
+def test_those_that_end_say_nothing_of_the_rest() -> None:
+    """Most of a fleet is replaced at once, and silent in its last moments; another hangs."""
+    fleet = Fleet(8)
+    fleet.run(5.0)
+    for key in fleet.keys[:6]:
+        last = fleet.turned[key]
+        fleet.evidence[key] = lambda now, last=last: Evidence(last, life=Life.LEAVING)  # type: ignore[misc]
+    fleet.silent(fleet.keys[7])
+    fleet.run(ACTED_FOR + 3.0)
+    assert fleet.vigil.counts["distrusted"] == 0 and Do.REPLACE in fleet.done(fleet.keys[7])
+
+
+# ---- a wait for a processor that is not over -----------------------------------------------
+
+
+@pytest.mark.parametrize("told", [False, True])
+def test_one_that_waits_for_a_processor_is_not_judged_though_the_kernel_has_not_counted_it_yet(told: bool) -> None:
+    """Each wait lasts two seconds, between moments in which it runs; `told`: the kernel counts it then."""
+    fleet = Fleet(8)
+    fleet.run(5.0)
+    key = fleet.keys[1]
+    begin, ran = fleet.now, 0.001 * fleet.now
+
+    def starves(now: float) -> Evidence:
+        over = 2.0 * ((now - begin) // 2.0)
+        return Evidence(begin + over, False, ran + 0.001 * over, over * told, runnable=True)
+
+    fleet.evidence[key] = starves
+    fleet.run(20.0)
+    assert fleet.done(key) == []
+
+
+def test_one_that_spins_is_ready_to_run_and_runs() -> None:
+    fleet = Fleet(8)
+    fleet.run(5.0)
+    key = fleet.keys[1]
+    last, begin = fleet.turned[key], fleet.now
+    fleet.evidence[key] = lambda now: Evidence(last, ran=0.9 * (now - begin) + begin, runnable=True)
+    fleet.run(POLICY.spinning_for + 1.0)
+    assert fleet.done(key) == [Do.RELIEVE, Do.REPLACE]
--- a/weldroute/fleet.py
+++ b/weldroute/fleet.py
@@ -406,10 +406,13 @@
             if finished != process.finished:
                 process.finished, process.finished_at = finished, now
 
-    def cpu(self, now: float, name: str, generation: int, seconds: float) -> None:
-        """How much processor time a process has used."""
+    def cpu(self, now: float, name: str, generation: int, seconds: float, runnable: bool = False) -> None:
+        """How much processor time a process has used, and whether it runs or would if it had a processor.
+
+        Guards one that is starved against passing for hung: it uses no processor time because it gets none.
+        """
         found = self._process(name, generation)
-        if found is not None and seconds > found[1].cpu:
+        if found is not None and (runnable or seconds > found[1].cpu):
             found[1].cpu, found[1].cpu_at = seconds, now
 
     def suspects(self, now: float) -> list[tuple[str, int]]:
@@ -429,10 +432,16 @@
         return self._advance(now)
 
     def stalled(self, now: float, name: str, generation: int, why: str) -> list[Action]:
-        """A process stands still, as a closer watch has found: it is killed, and another started."""
+        """A process stands still, as a closer watch has found: it is killed, and another started if one is due.
+
+        One that was told to end is killed before its time is over: it does not end, and others can finish its work.
+        """
         found = self._process(name, generation)
-        if found is not None and found[1].phase is Phase.READY:
+        if found is not None and found[1].phase in (Phase.STARTING, Phase.READY):
             self._kill(found[1], found[0], f"stalled: {why}")
+        elif found is not None and found[1].phase is Phase.LEAVING:
+            self._out.append(Notice(name, "killed", f"generation {generation}: stalled while it ended: {why}", True))
+            self._kill(found[1], found[0], found[1].ending)
         return self._advance(now)
 
     def reloaded(self, now: float, name: str, generation: int, why: str | None) -> list[Action]:
--- a/weldroute/vigil.py
+++ b/weldroute/vigil.py
@@ -3,7 +3,8 @@
 Evidence of a process (`Evidence`) is sampled several times a second by one observer, who looks at what cannot lie or
 wait: when the process's event loop turned last (a cell of shared memory that it writes), what the kernel says of its
 state, of the processor time that it used and of the time that it was ready to run and had no processor, and since
-when a connection waits at its listener that nobody accepts.
+when a connection waits at its listener that nobody accepts. The kernel counts a wait for a processor when it is over;
+one that goes on shows as ready to run at a look and no processor time since the last.
 
 How unlikely the silence is: `phi`, the accrual detector of Hayashibara et al. (SRDS 2004), minus the decimal
 logarithm of the chance that a beat comes even later, for normally distributed gaps of the mean and deviation seen
@@ -24,6 +25,8 @@
 | spinning | it uses processor time, and no turn   | `spinning_for`                          |
 | starved  | it had no processor                   | never judged                            |
 | deaf     | it turns, and accepts nothing         | others accept for it; it is never killed |
+| starting | it has not begun to turn, and         | others accept for it, if most of the     |
+|          | connections wait for it               | fleet serves; never killed for that      |
 
 Two bounds hold whatever the evidence says. No more than `share` of the fleet is acted upon at once: who was killed
 counts until another is ready in its place. And when more than `distrust` of all look ill by their silence alone, the
@@ -31,6 +34,10 @@
 One that lives and fares worse than its siblings (`weldroute.siblings`) is never killed for it: most of its new
 connections go to others, and it gets them back by steps.
 
+A process is watched from its start to its end (`Life`). Until it turns for the first time its silence says nothing,
+for what a start takes is bounded elsewhere; only a stop that the kernel tells counts. One that was told to end has
+left its listener to others, so nothing is accepted for it; when it stalls it is killed, for what it has in hand.
+
 A judgement ends only when beats have come for `steady` seconds, so that one that flaps is not accepted for by turns.
 """
 
@@ -72,6 +79,15 @@
     SPINNING = "spinning"
     STARVED = "starved"
     DEAF = "deaf"
+    STARTING = "starting"
+
+
+class Life(Enum):
+    """How far a process is, as its supervisor knows."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
 
 
 class Do(Enum):
@@ -119,6 +135,8 @@
     starved: float = 0.0  # time since its start in which it was ready to run and had no processor
     waits: float = 0.0  # for how long something waits at its listener
     progress: int = 0  # attempts that have ended: a sign of life beside the beat
+    runnable: bool = False  # it runs, or would if it had a processor
+    life: Life = Life.SERVING
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,6 +167,9 @@
     ran: float = 0.0  # at the last beat...
     starved: float = 0.0
     excused: float = 0.0  # seconds of the silence in which the observer was late
+    ran_last: float = 0.0  # at the last look...
+    starved_last: float = 0.0
+    queued: float = 0.0  # ...and seconds of waiting for a processor that `starved` does not tell of yet
     judgement: Judgement = Judgement.WELL
     cause: Cause = Cause.NONE
     phi: float = 0.0
@@ -157,22 +178,43 @@
     relieved: bool = False
     replaced: bool = False
     progress: int = 0
+    life: Life = Life.SERVING
     aside: Finding | None = None  # why most of its new connections go to others
 
     def beats(self, now: float, evidence: Evidence) -> None:
         """Its loop has turned since the last look."""
         if self.turned:
-            gap = max(0.0, evidence.turned - self.turned - (evidence.starved - self.starved) - self.excused)
+            gap = max(0.0, evidence.turned - self.turned - self.waited(evidence) - self.excused)
             # What lies between two looks may be several beats: a gap is never taken to be longer than it was.
             off = min(gap, 4.0 * self.mean) - self.mean
             part = LEARNS if self.judgement is Judgement.WELL else LEARNS_ILL
             self.mean += part * off
             self.deviation = math.sqrt((1.0 - part) * (self.deviation**2 + part * off * off))
-        self.turned = self.since = evidence.turned
-        self.ran, self.starved, self.excused = evidence.ran, evidence.starved, 0.0
+        self.turned = evidence.turned
+        self.begin(evidence.turned, evidence)
         if self.well_since < 0.0:
             self.well_since = now
 
+    def begin(self, since: float, evidence: Evidence) -> None:
+        """Its silence is counted from here."""
+        self.since, self.excused, self.queued = since, 0.0, 0.0
+        self.ran, self.starved = evidence.ran, evidence.starved
+
+    def wait(self, evidence: Evidence, every: float) -> None:
+        """Count the time in which it waited for a processor and still does.
+
+        The kernel tells of a wait when it is over. One that is ready to run at a look, and has not run since the
+        last, has waited in between.
+        """
+        self.queued = max(0.0, self.queued - (evidence.starved - self.starved_last))
+        if evidence.runnable and evidence.ran == self.ran_last:
+            self.queued += every
+        self.ran_last, self.starved_last = evidence.ran, evidence.starved
+
+    def waited(self, evidence: Evidence) -> float:
+        """Seconds of its silence in which it had no processor."""
+        return evidence.starved - self.starved + self.queued
+
 
 class Vigil:
     """All processes of one fleet, as one observer judges them."""
@@ -207,23 +249,27 @@
         """Judge all that are ready, of a fleet in which so many are wanted; what is to be done.
 
         `accounts` are compared with each other. `every` is how long after the last look this one was due.
-        A process that is not in `seen` any more is not judged; one that is there for the first time begins well.
+        A process that is not in `seen` any more is not judged; one that is there for the first time begins well. Only
+        those that serve are looked for in `accounts`.
         """
         late = max(0.0, now - self._looked - every) if math.isfinite(self._looked) else 0.0
         self._looked = now
         for key in set(self.processes) - set(seen):
             self.gone(key)
         for key, evidence in seen.items():
-            self.ready(key)
-            self._weigh(now, key, evidence, late)
+            if evidence.life is Life.SERVING:
+                self.ready(key)
+            self._weigh(now, key, evidence, late, every)
+        # One that ends may be silent in its last moment: that says nothing of the rest.
         by_silence = sum(
             one.judgement is not Judgement.WELL and one.cause in (Cause.HUNG, Cause.SPINNING)
-            for one in self.processes.values()
+            for one in self.processes.values() if one.life is not Life.LEAVING
         )
         self._acted = {name: act for name, act in self._acted.items() if act[1] > now - ACTED_FOR}
         distrusted = by_silence > max(1.0, self.policy.distrust * fleet)
         acts: list[Act] = []
         for key in seen:
+            acts += self._accept_for(now, key, self.processes[key], fleet)
             acts += self._decide(now, key, fleet, distrusted)
         return acts + self._set_aside(now, fleet, self.siblings.look(now, accounts or {}))
 
@@ -256,32 +302,37 @@
 
     # ---- judging -------------------------------------------------------------------------
 
-    def _weigh(self, now: float, key: Key, evidence: Evidence, late: float) -> None:
+    def _weigh(self, now: float, key: Key, evidence: Evidence, late: float, every: float) -> None:
         one = self.processes.get(key)
         if one is None:
             one = self.processes[key] = Watched(self.policy.beat, self.policy.beat / 2.0, since=now)
+        one.wait(evidence, every)
         if late > PAUSE:
             # The observer was away: what it knew of is old, and so is a beat that came meanwhile. Who lives has a
             # beat's time to show it.
-            one.turned, one.since, one.excused = max(one.turned, evidence.turned), now, 0.0
-            one.ran, one.starved, one.certain_since = evidence.ran, evidence.starved, math.inf
+            one.turned, one.certain_since = max(one.turned, evidence.turned), math.inf
+            one.begin(now, evidence)
         elif evidence.turned > one.turned:
             one.beats(now, evidence)
         elif evidence.progress != one.progress:
             # It serves, though it does not beat: its silence begins anew, and teaches nothing about beats.
-            one.since, one.excused, one.certain_since = now, 0.0, math.inf
-            one.ran, one.starved = evidence.ran, evidence.starved
+            one.certain_since = math.inf
+            one.begin(now, evidence)
         else:
             one.excused += late
-        one.progress = evidence.progress
+        if evidence.life is Life.STARTING and not one.turned and not evidence.stopped:
+            one.since = now  # it has not begun to beat
+        one.progress, one.life = evidence.progress, evidence.life
         # A timer that is due lately has not been missed: silence begins where the last beat was, or was excused to.
-        silence = now - one.since - one.excused - (evidence.starved - one.starved)
+        silence = now - one.since - one.excused - one.waited(evidence)
         one.phi = phi(max(0.0, silence), one.mean, one.deviation)
         one.cause = self._cause(one, evidence, silence)
         judgement = self._judge(now, one, evidence)
         if judgement is not Judgement.WELL:
             one.well_since = -math.inf
-        steady = judgement is not Judgement.WELL or one.turned - one.well_since >= self.policy.steady
+        steady = judgement is not Judgement.WELL or (
+            one.turned > 0.0 and one.turned - one.well_since >= self.policy.steady
+        )
         if judgement is not one.judgement and steady:
             self._note(now, key, one, judgement, silence)
 
@@ -289,8 +340,9 @@
         if evidence.stopped:
             return Cause.STOPPED
         if one.phi < self.policy.suspect:
-            return Cause.DEAF if evidence.waits >= self.policy.unaccepted else Cause.NONE
-        if evidence.starved - one.starved > silence:
+            deaf = Cause.DEAF if one.turned else Cause.STARTING
+            return deaf if evidence.waits >= self.policy.unaccepted else Cause.NONE
+        if one.waited(evidence) > silence:
             return Cause.STARVED
         return Cause.SPINNING if evidence.ran - one.ran > 0.5 * silence else Cause.HUNG
 
@@ -299,7 +351,7 @@
         if one.cause is Cause.STARVED or (one.cause is Cause.NONE and evidence.waits < policy.unaccepted):
             one.certain_since = math.inf
             return Judgement.WELL
-        if one.cause is Cause.DEAF:
+        if one.cause in (Cause.DEAF, Cause.STARTING):
             one.certain_since = math.inf
             return Judgement.SUSPECT
         if one.cause is Cause.STOPPED and one.phi < policy.suspect:
@@ -332,29 +384,49 @@
     def _decide(self, now: float, key: Key, fleet: int, distrusted: bool) -> list[Act]:
         one = self.processes[key]
         acts: list[Act] = []
-        why = f"{one.cause.value or 'late'}, phi {min(one.phi, 999.0):.0f}"
-        if one.judgement is Judgement.WELL:
-            if one.relieved:
-                one.relieved = False
-                acts.append(Act(key, Do.RETURN, "it beats again"))
-        elif not one.relieved:
-            one.relieved = True
-            acts.append(Act(key, Do.RELIEVE, why))
         if one.judgement is Judgement.STALLED and not one.replaced and self._may(now, key, one, fleet, distrusted):
             one.replaced = True
-            self._acted[key[0]] = key[1], now
+            if one.life is not Life.LEAVING:  # who ends has left its part of the work to others already
+                self._acted[key[0]] = key[1], now
             self.counts["replaced"] += 1
-            acts.append(Act(key, Do.REPLACE, why))
-        for act in acts:
-            self._write(now, key, f"{act.do.value}: {act.why}")
+            acts.append(self._act(now, key, Do.REPLACE, self._why(one)))
         return acts
 
+    def _accept_for(self, now: float, key: Key, one: Watched, fleet: int) -> list[Act]:
+        """Whether others accept for a process, or it does alone."""
+        if one.judgement is Judgement.WELL:
+            if not one.relieved:
+                return []
+            one.relieved = False
+            return [self._act(now, key, Do.RETURN, "it beats again")]
+        if one.relieved or one.life is Life.LEAVING:
+            return []
+        if one.life is Life.STARTING and self._serving() < (1.0 - self.policy.distrust) * fleet:
+            # Where most are away it is a blow, which has paces of its own: those few would get what all wait for.
+            return []
+        one.relieved = True
+        return [self._act(now, key, Do.RELIEVE, self._why(one))]
+
+    def _serving(self) -> int:
+        """How many others could go to."""
+        return sum(
+            one.life is Life.SERVING and one.judgement is Judgement.WELL for one in self.processes.values()
+        )
+
+    @staticmethod
+    def _why(one: Watched) -> str:
+        return f"{one.cause.value or 'late'}, phi {min(one.phi, 999.0):.0f}"
+
+    def _act(self, now: float, key: Key, do: Do, why: str) -> Act:
+        self._write(now, key, f"{do.value}: {why}")
+        return Act(key, do, why)
+
     def _may(self, now: float, key: Key, one: Watched, fleet: int, distrusted: bool) -> bool:
         """Whether one more may be replaced now."""
         held = ""
         if distrusted and one.cause is not Cause.STOPPED:
             held = "distrusted"
-        elif len(self._acted) >= self._most(fleet):
+        elif len(self._acted) >= self._most(fleet) and one.life is not Life.LEAVING:
             held = "held_back"
         if held and key not in self._held:
             self._held.add(key)
