--- a/tests/unit/test_siblings.py
+++ b/tests/unit/test_siblings.py
@@ -22,7 +22,7 @@
     Key,
     Siblings,
     Why,
-    chernoff,
+    lost_path,
     read_account,
 )
 
@@ -257,11 +257,24 @@
         assert (account.version, account.full) == (kept, True)
 
 
-@given(st.integers(0, 400), st.integers(1, 400), st.floats(0.01, 0.9))
-def test_the_bound_is_never_below_the_chance_itself(misses: int, count: int, usual: float) -> None:
-    misses = min(misses, count)
-    chance = sum(math.comb(count, k) * usual**k * (1.0 - usual) ** (count - k) for k in range(misses, count + 1))
-    assert 10.0 ** -chernoff(misses, count, usual) >= chance * (1.0 - 1e-9)
+@given(st.floats(0.0, 1.0))
+def test_an_attempt_of_one_that_fares_as_usual_speaks_for_a_lost_path_no_more_than_by_chance(usual: float) -> None:
+    """Its likelihood ratio is 1 on average, or less: so between false alarms there are 10^`unlike` attempts (Lorden,
+    Annals of Mathematical Statistics 1971)."""
+    missed, reached = math.exp(lost_path(1, 0, usual)), math.exp(lost_path(0, 1, usual))
+    assert usual * missed + (1.0 - usual) * reached <= 1.0 + 1e-9
+    assert missed >= 1.0 >= reached
+
+
+def test_few_attempts_on_a_lost_path_are_enough_though_seconds_lie_between_them() -> None:
+    """Breakers leave few. What went well before speaks for nothing."""
+    world = World(8, rate=3.0)
+    world.run(20.0)
+    key, begin = world.keys[3], world.now
+    world.cut.add((key, 1))
+    world.run(8.0)
+    assert {one for _, one, _ in world.found} == {key} and world.found[0][2].why is Why.PATH
+    assert world.found[0][0] - begin < 6.0
 
 
 @pytest.mark.parametrize(("name", "value"), [("unlike", 0.0), ("slower", 1.0), ("window", math.nan)])
--- a/weldroute/siblings.py
+++ b/weldroute/siblings.py
@@ -6,12 +6,12 @@
 all others together.
 
 How unlikely a difference is, `rarity`, is in the unit of `phi` (`weldroute.vigil`), decades: minus the decimal
-logarithm of a bound on the chance that one who fares like its siblings shows it. For misses among attempts that is
-Chernoff's bound, n x KL(misses / n, siblings' part), over counts that fade with the time constant `window`. For
-slowness it is Page's cumulative sum (Biometrika 1954) of the log-likelihood ratio of each answer's time, as normally
-distributed logarithms with the siblings' mean and spread: near `slower` times against none; it begins anew at 0
-whenever it would fall under it, and fades as counts do. Both need many samples or a great difference, and a healthy
-process at a small rate is not taken for an ill one.
+logarithm of a bound on the chance that one who fares like its siblings shows it. It is Page's cumulative sum
+(Biometrika 1954) of a log-likelihood ratio, which begins anew at 0 whenever it would fall under it and fades with the
+time constant `window`: what went well before a change speaks for nothing after it. For paths it is that of each
+attempt to a zone, as lost by chance LOSES against by that of siblings; for slowness that of each answer's time, as
+normally distributed logarithms with the siblings' mean and spread, near `slower` times against none. Both need many
+samples or a great difference, and a healthy process at a small rate is not taken for an ill one.
 
 | cause   | evidence                                                                        | counts when            |
 | ------- | ------------------------------------------------------------------------------- | ---------------------- |
@@ -46,6 +46,8 @@
 ENOUGH = 6.0  # ...and faded samples that are evidence of how one fares
 LATEST = 9.0  # ...of which one that was found has no more: what it shows now outweighs what it showed then
 PRIOR = 0.02  # no siblings miss less than this: they were lucky
+LOSES = 0.5  # the part of its attempts that a path loses which is looked for
+PATHS_FADE = 0.25  # of the pace at which slowness fades: breakers leave few attempts on a path that is lost
 SPREAD = 0.3  # no spread of logarithms of times is taken to be less
 LEEWAY = 0.1  # under the logarithm of `slower`: from here on an answer speaks for slowness...
 EACH = 1.5  # ...with so many decades at most, or a single late one would be enough
@@ -169,17 +171,15 @@
     )
 
 
-def chernoff(misses: float, count: float, usual: float) -> float:
-    """Decades: a bound on how rare so many misses of so many are where this part of them is usual."""
-    if count <= 0.0:
-        return 0.0
-    part = min(1.0, misses / count)
-    if part <= usual:
+def lost_path(missed: int, reached: int, usual: float) -> float:
+    """What some attempts to a zone speak for a path that loses LOSES of them, where `usual` is; natural units.
+
+    Nothing, where what is usual is about as bad.
+    """
+    usual = max(PRIOR, usual)
+    if usual >= LOSES / 2.0:
         return 0.0
-    kl = part * math.log(part / usual)
-    if part < 1.0:
-        kl += (1.0 - part) * math.log((1.0 - part) / (1.0 - usual))
-    return count * kl / LOG10
+    return missed * math.log(LOSES / usual) + reached * math.log((1.0 - LOSES) / (1.0 - usual))
 
 
 @dataclass(slots=True)
@@ -241,7 +241,9 @@
 
     account: Account
     faded: Faded = field(default_factory=Faded)
-    slow: float = 0.0  # Page's sum of what speaks for its being slow; natural units
+    slow: float = 0.0  # Page's sum of what speaks for its being slow; natural units...
+    paths: list[float] = field(default_factory=lambda: [0.0] * ZONES)  # ...and for each zone's path being lost
+    attempts: list[tuple[int, int]] = field(default_factory=lambda: [(0, 0)] * ZONES)  # of this look: missed, reached
     fresh: tuple[int, float] = (0, 0.0)  # answers at the last look, and the sum of the logarithms of their times...
     soon: tuple[float, float] = (0.0, 0.0)  # ...and the same of the last moments, fading with SOON
     behind_since: float = math.inf
@@ -277,7 +279,13 @@
                 self.processes[key] = Compared(account)
                 continue
             one.faded.fade(part ** PORTIONS[one.step])
-            one.slow *= part ** max(LASTS, PORTIONS[one.step])
+            kept = part ** max(LASTS, PORTIONS[one.step])
+            one.slow *= kept
+            one.paths = [kept**PATHS_FADE * each for each in one.paths]
+            one.attempts = [
+                (max(0, account.missed[zone] - one.account.missed[zone]),
+                 max(0, account.reached[zone] - one.account.reached[zone])) for zone in range(ZONES)
+            ]
             one.faded.add(account, one.account)
             one.fresh = max(0, account.answered - one.account.answered), account.logs - one.account.logs
             one.soon = one.soon[0] * soon + one.fresh[0], one.soon[1] * soon + one.fresh[1]
@@ -317,10 +325,10 @@
             rest.join(total)
             rest.join(one.faded, -1.0)
             least = self.policy.unlike * (1.0 if one.found is None else 0.5)
-            # In any case: what speaks for slowness adds up also while something else is found.
+            # In any case: what speaks for either adds up also while something else is found.
             slow = self._slow(one, rest, count - one.soon[0], logs - one.soon[1], least)
-            finding = self._full(one, fewer_full) or self._behind(now, one, usual)
-            finding = finding or self._path(one.faded, rest, least) or slow
+            path = self._path(one, rest, least)
+            finding = self._full(one, fewer_full) or self._behind(now, one, usual) or path or slow
             if finding is not None:
                 found[key] = finding
         return found
@@ -338,19 +346,26 @@
         text = f"its list is version {one.account.version}, half of all have {usual} for {since:.1f} s"
         return Finding(Why.BEHIND, math.inf, text)
 
-    @staticmethod
-    def _path(mine: Faded, rest: Faded, least: float) -> Finding | None:
-        for zone in range(ZONES):
-            count = mine.reached[zone] + mine.missed[zone]
+    def _path(self, one: Compared, rest: Faded, least: float) -> Finding | None:
+        """What its attempts of this look add to what speaks for a lost path; whether that is enough."""
+        finding = None
+        for zone, (missed, reached) in enumerate(one.attempts):
             others = rest.reached[zone] + rest.missed[zone]
             if others <= 0.0:
+                one.paths[zone] = 0.0
                 continue  # nobody would know better
-            usual = max(PRIOR, rest.missed[zone] / others)
-            rarity = chernoff(mine.missed[zone], count, usual)
-            if rarity >= least:
-                text = f"zone {zone}: {mine.missed[zone]:.0f} of {count:.0f} attempts unanswered"
-                return Finding(Why.PATH, rarity, f"{text}, {usual:.2f} of siblings'")
-        return None
+            usual = rest.missed[zone] / others
+            one.paths[zone] = self._sum(one.paths[zone], lost_path(missed, reached, usual))
+            rarity = one.paths[zone] / LOG10
+            if rarity >= least and finding is None:
+                lost, count = one.faded.missed[zone], one.faded.reached[zone] + one.faded.missed[zone]
+                text = f"zone {zone}: {lost:.0f} of {count:.0f} attempts unanswered, {usual:.2f} of siblings'"
+                finding = Finding(Why.PATH, rarity, text)
+        return finding
+
+    def _sum(self, before: float, more: float) -> float:
+        """Page's: never under 0, nor far over the threshold, or it would outlast what spoke for it."""
+        return min(HOLDS * self.policy.unlike * LOG10, max(0.0, before + more))
 
     def _slow(self, one: Compared, rest: Faded, soon: float, soon_logs: float, least: float) -> Finding | None:
         """What its answers of this look add to what speaks for its being slow; whether that is enough.
@@ -366,8 +381,7 @@
         if soon >= ENOUGH:
             mean = max(mean, soon_logs / soon)
         gain = 2.0 * margin / rest.variance * (logs - count * (mean + margin))
-        most = HOLDS * self.policy.unlike * LOG10
-        one.slow = min(most, max(0.0, one.slow + min(gain, count * EACH * LOG10)))
+        one.slow = self._sum(one.slow, min(gain, count * EACH * LOG10))
         rarity = one.slow / LOG10
         if rarity < least or one.faded.count <= 0.0:
             return None
@@ -395,6 +409,7 @@
     def _step(now: float, one: Compared, step: int) -> None:
         """Another portion, and evidence of its own."""
         one.step, one.tried_at, one.alike_since, one.faded, one.slow = step, now, math.inf, Faded(), 0.0
+        one.paths = [0.0] * ZONES
 
 
 def _middle(values: Iterable[int]) -> int:
