Supervisors of several machines know of each other: links, members, fleet members

Need: instances of many machines are to know who is alive, over links that drop, are slow or are cut one way. weldroute/links.py decides what waits and is dropped, when to dial and which of two links stays; cometusher/mesh carries frames of bounded length, authenticated by keyed BLAKE2 and taken once; [mesh] in a fleet's file switches it on, and run never imports it (a test holds it).

Found by the tests: a message that would not fit had others dropped before it was refused; a link on which only news go one way would have been taken for silent.

--- a/cometusher/fleet/commands.py
+++ b/cometusher/fleet/commands.py
@@ -41,7 +41,8 @@
     if options.action == "start":
         return _start(read_spec(path), options)
     actions: dict[str, Callable[[Place, argparse.Namespace], int]] = {
-        "status": partial(_view, show=_show_status), "explain": partial(_view, show=_show_notes), "stop": _stop,
+        "status": partial(_view, show=_show_status), "explain": partial(_view, show=_show_notes),
+        "members": partial(_view, show=_show_members), "stop": _stop,
     }
     return actions.get(options.action, _operate)(read_place(path), options)
 
@@ -157,6 +158,22 @@
             print(f"  {ago:8.2f} s ago  {text}")
 
 
+def _show_members(answer: dict[str, Any]) -> None:
+    links = {link["address"]: link for link in answer["links"]}
+    columns = "{:<24} {:<22} {:<8} {:<8} {:>8} {:>6}  {}"
+    print(columns.format("name", "address", "zone", "state", "since", "inc.", "link"))
+    for row in answer["members"]:
+        link = links.get(row["address"])
+        how = "-" if link is None else "up" if link["up"] else f"down, {link['failed']} dials"
+        by = f", suspected by {', '.join(row['suspected_by'])}" if row["suspected_by"] else ""
+        print(columns.format(
+            row["name"], row["address"], row["zone"] or "-", row["state"], f"{row['since']:.0f}s", row["incarnation"],
+            how + by,
+        ))
+    odd = ("doubt", "conflicts", "foreign", "bad", "refused")
+    print("  " + ", ".join(f"{name} {answer[name]}" for name in odd))
+
+
 def _stop(place: Place, options: argparse.Namespace) -> int:
     if options.names:
         return _operate(place, options)
--- a/cometusher/fleet/spec.py
+++ b/cometusher/fleet/spec.py
@@ -21,6 +21,7 @@
 from weldroute.fleet import Policy
 from weldroute.herd import HerdPolicy
 from weldroute.inhand import BLOCK, Shelf, Size
+from weldroute.members import MemberPolicy
 from weldroute.remember import Limits
 from weldroute.siblings import Comparison
 from weldroute.vigil import VigilPolicy
@@ -29,6 +30,8 @@
 MOST = 1024  # instances
 SPARE_BOOKS = 8
 MAX_SOCKET_PATH = 100  # bytes
+MIN_SECRET, MAX_SECRET = 32, 1024  # bytes
+MAX_MEMBER = 128  # characters of a name
 RELOADABLE = frozenset({"discovery", "limits", "known"})  # what an instance takes over while it runs
 
 
@@ -157,6 +160,19 @@
     patience: float = 0.25  # seconds until what an heir has not received is taken back
 
 
+@dataclass(frozen=True, slots=True)
+class MeshSpec:
+    """How this supervisor talks with those of other machines."""
+
+    listen: Address
+    address: str  # as others reach it
+    name: str  # that nobody else has
+    seeds: tuple[str, ...]
+    secret: Path
+    zone: str = ""
+    policy: MemberPolicy = field(default_factory=MemberPolicy)
+
+
 @dataclass(frozen=True, slots=True)
 class FleetSpec:
     """A fleet's whole file."""
@@ -171,6 +187,7 @@
     vigil: VigilPolicy | None = None  # likewise...
     comparison: Comparison = field(default_factory=Comparison)  # ...with its comparison of siblings...
     recorded: Recorded | None = None  # ...and where to keep what the watch saw
+    mesh: MeshSpec | None = None  # likewise
 
     def ring_place(self, name: str) -> dict[str, int]:
         """Which of how many before its tier an instance is, as settings; nothing for a command of the operators' own.
@@ -283,6 +300,47 @@
     return _checked(table, VigilPolicy(**values)), _checked(table, Comparison(**others)), recorded
 
 
+def _read_mesh(root: Table, base: Path) -> MeshSpec | None:
+    """The table `[mesh]`; None where the file has none."""
+    if not root.has("mesh"):
+        return None
+    table, usual = root.table("mesh"), MemberPolicy()
+    listen = table.address("listen")
+    if not 1 <= listen[1] <= 65535 or not _numeric(listen[0]):
+        raise table.fault("listen", "not an IP address and a port from 1 to 65535")
+    address = "{}:{}".format(*table.address("address", "{}:{}".format(*listen)))
+    seeds = table.texts("seeds")
+    for seed in seeds:
+        host, _, port = seed.rpartition(":")
+        if not host or not port.isdecimal() or not 1 <= int(port) <= 65535 or not _numeric(host):
+            raise table.fault("seeds", f"{seed!r} is not an IP address and a port")
+    name, zone = table.text("name", address), table.text("zone", "")
+    if len(name) > MAX_MEMBER:
+        raise table.fault("name", f"longer than {MAX_MEMBER} characters")
+    values: dict[str, Any] = {}
+    for item in fields(MemberPolicy):
+        default = getattr(usual, item.name)
+        read = table.whole if isinstance(default, int) else table.number
+        values[item.name] = read(item.name, default)
+    secret = base / table.text("secret")
+    table.done()
+    return MeshSpec(listen, address, name, seeds, secret, zone, _checked(table, MemberPolicy(**values)))
+
+
+def read_secret(path: Path) -> bytes:
+    """The key that all members of a fleet share; raises ConfigError. Never shown, nor a part of any spec."""
+    try:
+        mode = path.stat().st_mode
+        data = path.read_bytes()
+    except OSError as fault:
+        raise ConfigError(f"{path}: {fault.strerror}") from None
+    if stat.S_IMODE(mode) & 0o077:
+        raise ConfigError(f"{path}: others may read it; chmod 600")
+    if not MIN_SECRET <= len(data.strip()) <= MAX_SECRET:
+        raise ConfigError(f"{path}: not {MIN_SECRET} to {MAX_SECRET} bytes")
+    return data.strip()
+
+
 def _read_log(table: Table, base: Path) -> LogSpec:
     target = table.text("target", "stderr")
     spec = LogSpec(
@@ -432,7 +490,10 @@
 def read_spec(path: Path) -> FleetSpec:
     """Read a fleet's file and all that it names; raises ConfigError naming file, line and key."""
     path = Path(os.path.abspath(path))
-    return build_spec(path, read_file(path))
+    spec = build_spec(path, read_file(path))
+    if spec.mesh is not None:
+        read_secret(spec.mesh.secret)
+    return spec
 
 
 def build_spec(path: Path, root: Table) -> FleetSpec:
@@ -458,10 +519,13 @@
     comeback = _read_comeback(root, len(reader.instances))
     takeover = _read_takeover(root, reader.instances.values())
     vigil, comparison, recorded = _read_vigil(root, base)
+    mesh = _read_mesh(root, base)
     root.done()
     if not reader.instances:
         raise ConfigError(f"{path}: instance: there is none")
-    return FleetSpec(place, spawn, policy, log, reader.instances, comeback, takeover, vigil, comparison, recorded)
+    return FleetSpec(
+        place, spawn, policy, log, reader.instances, comeback, takeover, vigil, comparison, recorded, mesh
+    )
 
 
 def write_private(path: Path, content: bytes) -> None:
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -40,6 +40,7 @@
     from cometusher.fleet.estate import Estates
     from cometusher.fleet.memory import Memory
     from cometusher.fleet.watch import Watch
+    from cometusher.mesh.host import Mesh
 
 log = logging.getLogger(__name__)
 
@@ -134,6 +135,7 @@
         self.memory: Memory | None = None
         self.estates: Estates | None = None
         self.watch: Watch | None = None
+        self.mesh: Mesh | None = None
         self._keep_due = False
         self.children: dict[Key, Child] = {}
         self.manager = ServiceManager(environ)
@@ -155,7 +157,7 @@
     async def prepare(self) -> None:
         """All that can fail at the start: the predecessor's processes, the addresses, the socket.
 
-        Raises Taken or OSError.
+        Raises Taken, OSError or ConfigError.
         """
         if self.spec.comeback is not None:
             from cometusher.fleet.memory import Memory
@@ -174,6 +176,10 @@
             )
             if self.spec.recorded is not None:
                 self.watch.recorder = Recorder(self.spec.recorded.path, self.spec.recorded.most)
+        if self.spec.mesh is not None:
+            from cometusher.mesh.host import Mesh
+
+            self.mesh = Mesh(self.spec.mesh, self.spec.place.name, self.loop)
         await self._settle_predecessor()
         for one in self.spec.instances.values():
             self.listeners.get(one.name, one.listen)
@@ -195,6 +201,8 @@
         self._tick()
         if self.watch is not None:
             self.watch.start()
+        if self.mesh is not None:
+            await self.mesh.start()
         log.info("supervisor %d of %d instances starts", os.getpid(), len(self.spec.instances))
         done = await self._finish(self.fleet.start(now, wanted))
         if not self.fleet.ending:
@@ -229,6 +237,8 @@
         await self._ended.wait()
         for task in self._probes.values():
             task.cancel()
+        if self.mesh is not None:
+            await self.mesh.close()
         await self.control.stop()
         self.listeners.release_all()
         with contextlib.suppress(OSError):
@@ -682,7 +692,7 @@
         old = self.spec
         for key, before, after in (
             ("fleet.name", old.place.name, fresh.place.name), ("fleet.state", old.place.state, fresh.place.state),
-            ("fleet.spawn", old.spawn, fresh.spawn), ("log", old.log, fresh.log),
+            ("fleet.spawn", old.spawn, fresh.spawn), ("log", old.log, fresh.log), ("mesh", old.mesh, fresh.mesh),
         ):
             if before != after:
                 raise ConfigError(f"{fresh.place.path}: {key}: {after} instead of {before} needs a new start")
@@ -724,6 +734,10 @@
             return self.status(names)
         if command == "explain":
             return self._explain(names)
+        if command == "members":
+            if self.mesh is None:
+                raise ControlError("the fleet's file has no table [mesh]")
+            return self.mesh.view()
         self._not_ending()
         now = self.loop.time()
         if command == "start":
@@ -802,7 +816,7 @@
     supervisor = Supervisor(spec, environ)
     try:
         await supervisor.prepare()
-    except (Taken, OSError) as fault:
+    except (Taken, OSError, ConfigError) as fault:
         supervisor.listeners.release_all()
         raise CannotStart(str(fault)) from None
     tell(await supervisor.run(names))
--- /dev/null
+++ b/cometusher/mesh/__init__.py
@@ -0,0 +1,1 @@
+"""Links between instances of many machines; imported only where a file switches them on."""
--- a/cometusher/schemas.py
+++ b/cometusher/schemas.py
@@ -30,6 +30,9 @@
 [comeback]
 [takeover]
 [vigil]
+[mesh]
+listen = "127.0.0.1:7400"
+secret = "mesh.key"
 [[instance]]
 name = "a"
 listen = "127.0.0.1:9000"
--- a/tests/fleetrig.py
+++ b/tests/fleetrig.py
@@ -93,6 +93,7 @@
         self.policy: dict[str, Any] = dict(QUICK)
         self.logging: dict[str, Any] = {"target": "fleet.log"}
         self.common: dict[str, Any] = {}
+        self.mesh: dict[str, Any] = {}
         self.instances: dict[str, dict[str, Any]] = {}
         self.started: list[subprocess.Popen[bytes]] = []
         self.seen: set[int] = set()  # pids of all processes that were seen in the fleet
@@ -111,6 +112,7 @@
     def write(self) -> Path:
         text = f"[fleet]\n{toml(self.head)}[policy]\n{toml(self.policy)}[log]\n{toml(self.logging)}"
         text += f"[common]\n{toml(self.common)}"
+        text += f"[mesh]\n{toml(self.mesh)}" if self.mesh else ""
         text += "".join(f"[[instance]]\n{toml(values)}" for values in self.instances.values())
         self.file.write_text(text)
         return self.file
--- /dev/null
+++ b/tests/loopback/test_mesh.py
@@ -0,0 +1,241 @@
+"""Supervisors that stand for machines know of each other: real processes, a faulty relay before each address."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import os
+import signal
+import socket
+import tempfile
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+from typing import Any
+
+import pytest
+from fleetrig import FleetRig, fleet_rig, run
+from rig import PATIENCE
+
+from cometusher.drill.world import until
+from cometusher.fleet.control import ControlError, NoSupervisor, ask
+from standins.link import Link, Mood
+from standins.ports import free_ports
+
+QUICK = {"period": 0.25, "patience": 0.1, "suspicion": 5.0, "alone": 2.0, "knock": 0.5, "gossip": 0.05, "sync": 2.0}
+KEY = "5f" * 32
+
+
+class Machines:
+    """Some supervisors of one fleet, each with an instance that does nothing, and the relays."""
+
+    def __init__(self, rigs: list[FleetRig], links: list[Link]) -> None:
+        self.rigs = rigs
+        self.links = links
+        self.ports = free_ports(len(rigs))  # behind the relays
+
+    def prepare(self, i: int, key: str = KEY, fleet: str = "t", **mesh: Any) -> FleetRig:
+        rig = self.rigs[i]
+        secret = rig.folder / "mesh.key"
+        secret.write_text(key + "\n")
+        secret.chmod(0o600)
+        rig.head["name"] = fleet
+        if not rig.instances:
+            rig.add(f"i{i}", mode="ok")
+        rig.mesh = QUICK | {
+            "listen": f"127.0.0.1:{self.ports[i]}", "address": f"127.0.0.1:{self.links[i].port}", "name": f"m{i}",
+            "seeds": [f"127.0.0.1:{self.links[0].port}", "127.0.0.1:9"], "secret": "mesh.key", "zone": "kigali",
+        } | mesh
+        rig.write()
+        return rig
+
+    def launch(self, i: int, **how: Any) -> None:
+        self.prepare(i, **how).launch()
+
+    def view(self, i: int) -> dict[str, Any]:
+        """What a supervisor tells; empty where there is none."""
+        try:
+            return ask(self.rigs[i].control, "members", PATIENCE)
+        except (NoSupervisor, ControlError):
+            return {}
+
+    def states(self, i: int) -> dict[str, str]:
+        return {row["name"]: row["state"] for row in self.view(i).get("members", [])}
+
+    def pid(self, i: int) -> int:
+        return self.rigs[i].started[-1].pid
+
+    async def come(self, condition: Callable[[], bool], what: str) -> None:
+        async def found() -> bool:
+            return await asyncio.to_thread(condition)
+
+        assert await until(found, 2 * PATIENCE), f"never: {what}\n" + "\n".join(
+            f"{i}: {self.states(i)}\n{rig.logged()[-1500:]}" for i, rig in enumerate(self.rigs)
+        )
+
+    async def agree(self, **states: str) -> None:
+        """Wait until all that run see the same; those that are not named are alive."""
+        want = {f"m{i}": "alive" for i in range(len(self.rigs))} | states
+        running = [i for i, rig in enumerate(self.rigs) if rig.started and rig.started[-1].poll() is None]
+        await self.come(lambda: all(self.states(i) == want for i in running), f"{want}")
+
+
+@contextlib.asynccontextmanager
+async def machines(count: int = 3, start: bool = True) -> AsyncIterator[Machines]:
+    with contextlib.ExitStack() as stack:
+        rigs = [
+            stack.enter_context(fleet_rig(Path(stack.enter_context(tempfile.TemporaryDirectory(prefix="mesh-")))))
+            for _ in range(count)
+        ]
+        links = [Link(("127.0.0.1", 0), seed) for seed in range(count)]
+        made = Machines(rigs, links)
+        for link, port in zip(links, made.ports, strict=True):
+            link.target = ("127.0.0.1", port)
+            await link.start()
+        try:
+            if start:
+                for i in range(count):
+                    made.launch(i)
+                await made.agree()
+            yield made
+        finally:
+            for link in links:
+                await link.stop()
+
+
+def test_a_supervisor_that_is_killed_is_dead_for_all_and_comes_back_without_state() -> None:
+    async def test() -> None:
+        async with machines() as m:
+            os.kill(m.pid(2), signal.SIGKILL)
+            await m.come(lambda: m.rigs[2].started[-1].poll() is not None, "its end")
+            await m.agree(m2="dead")
+            shown = await asyncio.to_thread(m.rigs[0].fleet, "members")
+            assert b"m2" in shown.stdout and b"dead" in shown.stdout, shown
+            m.launch(2)
+            await m.agree()
+            rows = {row["name"]: row for row in m.view(0)["members"]}
+            assert rows["m2"]["incarnation"] > 1 and rows["m2"]["zone"] == "kigali"
+
+    run(test)
+
+
+def test_one_that_leaves_in_order_has_left() -> None:
+    async def test() -> None:
+        async with machines() as m:
+            done = await asyncio.to_thread(m.rigs[1].fleet, "stop")
+            assert done.returncode == 0, done
+            await m.agree(m1="left")
+
+    run(test)
+
+
+def test_one_that_was_stopped_and_goes_on_is_alive_again_and_calls_nobody_dead() -> None:
+    async def test() -> None:
+        async with machines() as m:
+            before = m.rigs[1].logged()
+            os.kill(m.pid(1), signal.SIGSTOP)
+            try:
+                await m.come(lambda: m.states(0).get("m1") == "dead", "dead for m0")
+                await m.come(lambda: m.states(2).get("m1") == "dead", "dead for m2")
+            finally:
+                os.kill(m.pid(1), signal.SIGCONT)
+            await m.agree()
+            assert "is dead" not in m.rigs[1].logged()[len(before) :]
+
+    run(test)
+
+
+def test_whoever_can_dial_others_is_alive_though_nobody_reaches_it() -> None:
+    """Its own address is cut, as behind a wall that lets out and not in: all go by the links that it dialled."""
+
+    async def test() -> None:
+        async with machines() as m:
+            os.kill(m.pid(1), signal.SIGKILL)
+            await m.come(lambda: m.rigs[1].started[-1].poll() is not None, "its end")
+            await m.agree(m1="dead")
+            await m.links[1].set(Mood("drop"))
+            m.launch(1)
+            await m.agree()
+            await m.links[1].set(Mood())
+            await m.agree()
+
+    run(test)
+
+
+@pytest.mark.parametrize("mood", [Mood("drop"), Mood("mute", way="down"), Mood("refuse")])
+def test_all_that_were_cut_off_find_each_other_again(mood: Mood) -> None:
+    async def test() -> None:
+        async with machines() as m:
+            for link in m.links:
+                await link.set(mood)
+                if mood.name == "refuse":
+                    await link.set(Mood("reset"))  # those that are open, too
+            for i in range(3):
+                others = {f"m{j}" for j in range(3) if j != i}
+                await m.come(
+                    lambda i=i, others=others: all(m.states(i).get(one) == "dead" for one in others),  # type: ignore[misc]
+                    f"nobody there for m{i}",
+                )
+            for link in m.links:
+                await link.set(Mood())
+            await m.agree()
+
+    run(test)
+
+
+def test_slow_links_and_narrow_ones_make_nobody_dead_for_good() -> None:
+    async def test() -> None:
+        async with machines() as m:
+            await m.links[0].set(Mood("slow", seconds=0.3, spread=0.5))
+            await m.links[1].set(Mood("narrow", rate=20_000.0))
+            await asyncio.sleep(1.0)
+            for link in m.links:
+                await link.set(Mood())
+            await m.agree()
+
+    run(test)
+
+
+def test_strangers_garbage_and_huge_frames_are_counted_and_harm_nobody() -> None:
+    async def test() -> None:
+        async with machines() as m:
+            for data in (b"\xff" * 4, (2**30).to_bytes(4, "big") + b"x" * 64, b"GET / HTTP/1.1\r\n\r\n" * 9, b""):
+                with socket.create_connection(("127.0.0.1", m.links[0].port)) as stranger:
+                    stranger.sendall(data)
+            await m.come(lambda: m.view(0)["bad"] >= 3, "strangers are told")
+            await m.agree()
+
+    run(test)
+
+
+@pytest.mark.parametrize(("key", "fleet"), [("ab" * 32, "t"), (KEY, "another")])
+def test_one_with_another_key_or_of_another_fleet_stays_alone(key: str, fleet: str) -> None:
+    async def test() -> None:
+        async with machines(3, start=False) as m:
+            for i in range(2):
+                m.launch(i)
+            m.launch(2, key=key, fleet=fleet)
+            await m.come(lambda: m.view(0).get("bad", 0) + m.view(2).get("bad", 0) > 0, "a link that is refused")
+            both = {"m0": "alive", "m1": "alive"}
+            await m.come(lambda: m.states(0) == both and m.states(1) == both, "the two")
+            assert m.states(2) == {"m2": "alive"}
+            assert KEY not in m.rigs[0].logged() and key not in m.rigs[2].logged()
+
+    run(test)
+
+
+@pytest.mark.parametrize(("change", "why"), [
+    ({"secret": "nowhere"}, b"nowhere: No such file"), ({"listen": "here:1"}, b"mesh.listen"),
+    ({"seeds": ["x"]}, b"mesh.seeds"), ({"period": 0.01}, b"mesh.patience"), ({"periods": 1}, b"did you mean period"),
+])
+def test_a_table_that_can_not_be_used_names_the_place(change: dict[str, Any], why: bytes) -> None:
+    async def test() -> None:
+        async with machines(1, start=False) as m:
+            m.prepare(0, **change)
+            done = await asyncio.to_thread(m.rigs[0].run, "check", str(m.rigs[0].file))
+            assert done.returncode == 2 and why in done.stderr, done.stderr
+            m.prepare(0)
+            (m.rigs[0].folder / "mesh.key").chmod(0o644)
+            done = await asyncio.to_thread(m.rigs[0].run, "check", str(m.rigs[0].file))
+            assert done.returncode == 2 and b"others may read it" in done.stderr
+
+    run(test)
--- a/tests/loopback/test_platform.py
+++ b/tests/loopback/test_platform.py
@@ -29,7 +29,8 @@
 #: Parts that `run` has no use for.
 ABSENT = {
     "cometusher.fleet", "cometusher.virtual", "cometusher.demo", "cometusher.cli", "cometusher.tables",
-    "cometusher.management", "cometusher.succession", "cometusher.handover", "cometusher.inhand",
+    "cometusher.management", "cometusher.succession", "cometusher.handover", "cometusher.inhand", "cometusher.mesh",
+    "weldroute.members", "weldroute.links", "weldroute.leases", "msgspec",
     "weldroute.vigil", "weldroute.fleet", "weldroute.handover",
     "weldroute.benchlink", "standins", "sqlite3", "tomllib", "argparse", "multiprocessing", "matplotlib", "numpy",
 }
--- /dev/null
+++ b/tests/unit/test_frames.py
@@ -0,0 +1,143 @@
+"""Frames of links: whatever else comes is refused, and nothing is taken twice."""
+
+from __future__ import annotations
+
+import contextlib
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cometusher.mesh.frames import HEAD, MOST, MOST_HELLO, TAG, BadFrame, Message, Session, decode, encode
+from weldroute import leases
+from weldroute.links import Kind
+from weldroute.members import Ack, Gossip, Nack, Ping, PingFor, Row, State, Sync
+
+KEY = b"k" * 32
+ROW = Row(3, State.SUSPECT, 2**61, "10.0.0.1:7", "kigali", "m1", by="m2")
+LEASE = leases.Lease("a", (4, "a"))
+MESSAGES: list[Message] = [
+    Ping("f", "a", 1, "b", (ROW,)), Ack("f", "a", 1, (ROW, ROW)), Nack("f", "a", 1),
+    PingFor("f", "a", 1, "b", "b:1", 0.25, (ROW,)), Gossip("f", "a", (ROW,)), Sync("f", "a", (ROW,) * 9, True),
+    leases.Prepare("d", (1, "a")), leases.Promise("d", (1, "a"), LEASE), leases.Promise("d", (1, "a"), None),
+    leases.Propose("d", (1, "a"), LEASE), leases.Accepted("d", (1, "a")), leases.Rejected("d", (1, "a"), (2, "b")),
+    leases.Released("d", LEASE),
+]
+
+
+def ends(key: bytes = KEY, fleet: str = "f") -> tuple[Session, Session]:
+    return Session(KEY, "f", "a", 1, "a:1", True), Session(key, fleet, "b", 2, "b:1", False)
+
+
+def met() -> tuple[Session, Session]:
+    one, other = ends()
+    assert list(other.feed(one.begin())) == [] and not other.up
+    assert list(one.feed(other.answer)) == [] and one.up
+    assert list(other.feed(one.answer)) == [] and other.up
+    other.answer = one.answer = b""
+    return one, other
+
+
+def test_two_ends_meet_and_every_message_goes_through() -> None:
+    one, other = met()
+    assert one.peer is not None and other.peer is not None
+    assert (one.peer.name, other.peer.name, other.peer.address) == ("b", "a", "a:1")
+    for message in MESSAGES:
+        for sender, taker in ((one, other), (other, one)):
+            (content,) = taker.feed(sender.seal(encode(message)[1]))
+            assert decode(content) == message
+
+
+def test_probes_go_before_news_and_leases_before_all() -> None:
+    kinds = [encode(message)[0] for message in MESSAGES]
+    assert kinds[:6] == [Kind.PROBE] * 4 + [Kind.NEWS, Kind.WHOLE] and set(kinds[6:]) == {Kind.LEASE}
+
+
+@given(st.lists(st.integers(0, len(MESSAGES) - 1), min_size=1, max_size=6), st.lists(st.integers(1, 50), max_size=40))
+def test_it_does_not_matter_in_which_pieces_they_come(which: list[int], cuts: list[int]) -> None:
+    one, other = met()
+    data = b"".join(one.seal(encode(MESSAGES[i])[1]) for i in which)
+    came, at = [], 0
+    for cut in [*cuts, len(data)]:
+        came += [decode(content) for content in other.feed(data[at : at + cut])]
+        at += cut
+    assert came == [MESSAGES[i] for i in which]
+
+
+@given(st.integers(0, 2000), st.integers(1, 255))
+def test_a_changed_byte_ends_the_link_and_nothing_of_it_is_taken(at: int, change: int) -> None:
+    one, other = met()
+    data = bytearray(one.seal(encode(MESSAGES[5])[1]))
+    data[at % len(data)] ^= change
+    with contextlib.suppress(BadFrame):
+        assert list(other.feed(bytes(data))) == [], "it waits for a longer one"
+
+
+def test_what_was_recorded_is_nobodys_word() -> None:
+    one, other = met()
+    sealed = one.seal(encode(MESSAGES[0])[1])
+    assert len(list(other.feed(sealed))) == 1
+    with pytest.raises(BadFrame, match="tag"):
+        list(other.feed(sealed))  # again
+    with pytest.raises(BadFrame, match="tag"):
+        list(one.feed(one.seal(encode(MESSAGES[0])[1])))  # back to who sent it
+    _, fresh = met()
+    with pytest.raises(BadFrame, match="tag"):
+        list(fresh.feed(sealed))  # on another link
+
+
+def test_a_recorded_hello_gets_an_answer_and_is_not_believed() -> None:
+    one, other = ends()
+    hello = one.begin()
+    list(other.feed(hello))
+    list(one.feed(other.answer))
+    here = one.answer
+    _, later = ends()
+    list(later.feed(hello))
+    assert later.answer and not later.up
+    with pytest.raises(BadFrame, match="tag"):
+        list(later.feed(here))
+    assert not later.up
+
+
+@pytest.mark.parametrize(("key", "fleet", "why"), [(b"x" * 32, "f", "another key"), (KEY, "g", "of fleet 'f'")])
+def test_strangers_and_other_fleets_are_refused(key: bytes, fleet: str, why: str) -> None:
+    one, other = ends(key, fleet)
+    with pytest.raises(BadFrame, match=why):
+        list(other.feed(one.begin()))
+
+
+@pytest.mark.parametrize("length", [0, MOST_HELLO + 1, 2**30, 2**32 - 1])
+def test_a_length_out_of_bounds_is_refused_before_anything_else_is_read(length: int) -> None:
+    _, other = ends()
+    with pytest.raises(BadFrame, match="bytes"):
+        list(other.feed(length.to_bytes(HEAD, "big")))
+    other = met()[1]
+    if not 0 < length <= MOST:
+        with pytest.raises(BadFrame, match="bytes"):
+            list(other.feed(length.to_bytes(HEAD, "big")))
+
+
+@given(st.binary(max_size=3000))
+def test_garbage_ends_a_link_or_waits_and_is_never_a_message(data: bytes) -> None:
+    for session in (ends()[0], ends()[1], met()[0], met()[1]):
+        with contextlib.suppress(BadFrame):
+            assert list(session.feed(data)) == []
+        assert len(session._buffer) <= HEAD + TAG + MOST
+
+
+@given(st.binary(max_size=200))
+def test_content_that_is_no_message_is_refused(data: bytes) -> None:
+    with contextlib.suppress(BadFrame):
+        assert encode(decode(data))
+
+
+def test_one_that_is_asked_for_a_sign_of_life_gives_it() -> None:
+    one, other = met()
+    assert list(other.feed(one.ask())) == [] and other.answer
+    assert list(one.feed(other.answer)) == []
+
+
+def test_a_short_key_is_refused() -> None:
+    with pytest.raises(ValueError, match="shorter"):
+        Session(b"short", "f", "a", 1, "a:1", True)
