No two machines roll out at once: leases of a majority gate each step

Need: who does a duty is to hold when contact is lost. Leases were decisions that nothing used. cometusher/mesh/duties.py puts grantors and askers on the links; Fleet.turn is asked at the moment of each step of a restart or a reload.

Measured: three tests with three supervisors: all roll out at once (one after another, epochs grow, each step by its holder), the holder is stopped for longer than its lease and goes on (it begins nothing until it has it again), no majority (nobody rolls out until it is back).

--- a/cometusher/cli.py
+++ b/cometusher/cli.py
@@ -13,6 +13,7 @@
     "status": "show every instance: state, pid, restarts, last exit, memory, requests",
     "reload": "read the file again and bring the instances to it, a few at a time",
     "members": "who of other machines is alive, as this supervisor sees it, and its links to them",
+    "leases": "duties that one machine at a time has, and whether this one has them",
     "explain": "what was seen of instances that stood still, and what was done, over the last minutes",
     "restart": "replace instances a few at a time; a fresh process is ready before the old one ends",
     "stop": "stop those named, or all and the supervisor",
--- a/cometusher/fleet/commands.py
+++ b/cometusher/fleet/commands.py
@@ -42,7 +42,7 @@
         return _start(read_spec(path), options)
     actions: dict[str, Callable[[Place, argparse.Namespace], int]] = {
         "status": partial(_view, show=_show_status), "explain": partial(_view, show=_show_notes),
-        "members": partial(_view, show=_show_members), "stop": _stop,
+        "members": partial(_view, show=_show_members), "leases": partial(_view, show=_show_leases), "stop": _stop,
     }
     return actions.get(options.action, _operate)(read_place(path), options)
 
@@ -174,6 +174,13 @@
     print("  " + ", ".join(f"{name} {answer[name]}" for name in odd))
 
 
+def _show_leases(answer: dict[str, Any]) -> None:
+    print("decided by a majority of: " + (", ".join(answer["grantors"]) or "nobody, so nothing is"))
+    for row in answer["duties"]:
+        held = f"held, epoch {row['epoch']}, for {row['for']:.1f} s yet" if row["holds"] else "not held here"
+        print(f"  {row['duty']}: {held}" + (", asked for" if row["wishes"] else ""))
+
+
 def _stop(place: Place, options: argparse.Namespace) -> int:
     if options.names:
         return _operate(place, options)
--- a/cometusher/fleet/spec.py
+++ b/cometusher/fleet/spec.py
@@ -21,6 +21,7 @@
 from weldroute.fleet import Policy
 from weldroute.herd import HerdPolicy
 from weldroute.inhand import BLOCK, Shelf, Size
+from weldroute.leases import LeasePolicy
 from weldroute.members import MemberPolicy
 from weldroute.remember import Limits
 from weldroute.siblings import Comparison
@@ -171,6 +172,8 @@
     secret: Path
     zone: str = ""
     policy: MemberPolicy = field(default_factory=MemberPolicy)
+    grantors: tuple[str, ...] = ()  # addresses of members whose majority decides who has a duty; none: nobody does
+    lease: LeasePolicy = field(default_factory=LeasePolicy)
 
 
 @dataclass(frozen=True, slots=True)
@@ -309,11 +312,9 @@
     if not 1 <= listen[1] <= 65535 or not _numeric(listen[0]):
         raise table.fault("listen", "not an IP address and a port from 1 to 65535")
     address = "{}:{}".format(*table.address("address", "{}:{}".format(*listen)))
-    seeds = table.texts("seeds")
-    for seed in seeds:
-        host, _, port = seed.rpartition(":")
-        if not host or not port.isdecimal() or not 1 <= int(port) <= 65535 or not _numeric(host):
-            raise table.fault("seeds", f"{seed!r} is not an IP address and a port")
+    seeds, grantors = _read_members(table, "seeds"), _read_members(table, "grantors")
+    if len(set(grantors)) != len(grantors):
+        raise table.fault("grantors", "one is there twice")
     name, zone = table.text("name", address), table.text("zone", "")
     if len(name) > MAX_MEMBER:
         raise table.fault("name", f"longer than {MAX_MEMBER} characters")
@@ -322,9 +323,21 @@
         default = getattr(usual, item.name)
         read = table.whole if isinstance(default, int) else table.number
         values[item.name] = read(item.name, default)
+    lease = LeasePolicy(length=table.number("lease", LeasePolicy().length, 0.5, 600.0))
     secret = base / table.text("secret")
     table.done()
-    return MeshSpec(listen, address, name, seeds, secret, zone, _checked(table, MemberPolicy(**values)))
+    policy = _checked(table, MemberPolicy(**values))
+    return MeshSpec(listen, address, name, seeds, secret, zone, policy, grantors, lease)
+
+
+def _read_members(table: Table, key: str) -> tuple[str, ...]:
+    """Addresses of other members."""
+    found = table.texts(key)
+    for one in found:
+        host, _, port = one.rpartition(":")
+        if not host or not port.isdecimal() or not 1 <= int(port) <= 65535 or not _numeric(host):
+            raise table.fault(key, f"{one!r} is not an IP address and a port")
+    return found
 
 
 def read_secret(path: Path) -> bytes:
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -180,6 +180,7 @@
             from cometusher.mesh.host import Mesh
 
             self.mesh = Mesh(self.spec.mesh, self.spec.place.name, self.loop)
+            self.fleet.turn = self.mesh.turn
         await self._settle_predecessor()
         for one in self.spec.instances.values():
             self.listeners.get(one.name, one.listen)
@@ -297,6 +298,8 @@
             stat = read_stat(child.pid) if child is not None else None
             if stat is not None:
                 self.fleet.cpu(now, name, generation, stat.cpu, stat.state == RUNNABLE)
+        if self.mesh is not None:
+            self.mesh.rolls(self.fleet.rolls)
         self._do(self.fleet.tick(now))
         if not self._ended.is_set():
             self.loop.call_later(TICK, self._tick)
@@ -734,10 +737,10 @@
             return self.status(names)
         if command == "explain":
             return self._explain(names)
-        if command == "members":
+        if command in ("members", "leases"):
             if self.mesh is None:
                 raise ControlError("the fleet's file has no table [mesh]")
-            return self.mesh.view()
+            return self.mesh.view() if command == "members" else self.mesh.leases()
         self._not_ending()
         now = self.loop.time()
         if command == "start":
--- a/cometusher/mesh/host.py
+++ b/cometusher/mesh/host.py
@@ -8,12 +8,15 @@
 from typing import Any
 
 from cometusher.fleet.spec import MeshSpec, read_secret
+from cometusher.mesh.duties import Duties
 from cometusher.mesh.frames import Message
 from cometusher.mesh.node import Node
 from cometusher.mesh.wires import Me, Reach, Wires, reach
+from weldroute import leases
 from weldroute.links import LinkPolicy
 from weldroute.members import Members
 
+ROLLOUT = "rollout"  # the duty of who replaces instances a few at a time
 FAREWELL = 0.2  # seconds in which the word that it leaves may go out
 WAITING = 128  # connections that wait to be accepted
 
@@ -23,6 +26,7 @@
 
     def __init__(self, spec: MeshSpec, fleet: str, loop: asyncio.AbstractEventLoop, reach: Reach = reach) -> None:
         """Raises OSError or ConfigError, for an address that is taken or a secret that can't be used."""
+        self._spec = spec
         key = read_secret(spec.secret)
         view = Members(
             spec.policy, fleet, spec.name, spec.address, spec.seeds, loop.time(), secrets.randbits(62), spec.zone
@@ -40,9 +44,26 @@
         self._loop = loop
         self.wires = Wires(loop, me, key, LinkPolicy(), secrets.randbits(62), self._hear, reach)
         self.node = Node(loop, view, self.wires)
+        # Its life too: a process that is stopped and one that has followed it are two.
+        name = f"{spec.name}#{view.me.life:x}"
+        self.duties = Duties(
+            loop, spec.lease, name, spec.address, spec.grantors, self.wires.send, secrets.randbits(62)
+        ) if spec.grantors else None
 
     def _hear(self, address: str, message: Message) -> None:
-        self.node.hear(address, message)
+        if not isinstance(message, leases.Request | leases.Answer):
+            self.node.hear(address, message)
+        elif self.duties is not None:
+            self.duties.hear(address, message)
+
+    def turn(self, now: float) -> bool:
+        """Whether a rolling operation may begin a step at this moment: no other machine may, or nobody decides."""
+        return self.duties is None or self.duties.may(ROLLOUT) is not None
+
+    def rolls(self, wishes: bool) -> None:
+        """Whether this machine has something to roll out."""
+        if self.duties is not None:
+            self.duties.wish(ROLLOUT, wishes)
 
     async def start(self) -> None:
         """Be a member from here on."""
@@ -51,6 +72,8 @@
 
     async def close(self) -> None:
         """Leave in order: some are told, and there is a moment for that."""
+        if self.duties is not None:
+            self.duties.close()
         self.node.stop()
         await asyncio.sleep(FAREWELL)
         await self.wires.close()
@@ -63,3 +86,9 @@
             "conflicts": members.conflicts, "foreign": members.foreign, "bad": self.wires.bad,
             "refused": self.wires.links.refused, "ended": self.wires.links.ended,
         }
+
+    def leases(self) -> dict[str, Any]:
+        """Who decides, and what this member has."""
+        return {
+            "grantors": list(self._spec.grantors), "duties": self.duties.view() if self.duties is not None else [],
+        }
--- a/cometusher/mesh/node.py
+++ b/cometusher/mesh/node.py
@@ -6,7 +6,6 @@
 import logging
 from collections.abc import Callable
 
-from cometusher.mesh.frames import Message
 from cometusher.mesh.wires import Wires
 from weldroute import members
 from weldroute.members import Action, Changed, Members, Send
@@ -37,11 +36,9 @@
             self._timer.cancel()
         self._do(self.view.leave(self._loop.time()))
 
-    def hear(self, address: str, message: Message) -> None:
-        """A message has come; what is not of members is nobody's here."""
-        if isinstance(message, members.Ping | members.Ack | members.Nack | members.PingFor | members.Gossip
-                      | members.Sync):
-            self._do(self.view.hear(self._loop.time(), address, message))
+    def hear(self, address: str, message: members.Message) -> None:
+        """A message of members has come."""
+        self._do(self.view.hear(self._loop.time(), address, message))
 
     def _look(self) -> None:
         now = self._loop.time()
--- a/tests/loopback/test_mesh.py
+++ b/tests/loopback/test_mesh.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 from typing import Any
 
+import orjson
 import pytest
 from fleetrig import FleetRig, fleet_rig, run
 from rig import PATIENCE
@@ -58,6 +59,9 @@
         except (NoSupervisor, ControlError):
             return {}
 
+    def leases(self, i: int) -> list[dict[str, Any]]:
+        return list(ask(self.rigs[i].control, "leases", PATIENCE)["duties"])
+
     def states(self, i: int) -> dict[str, str]:
         return {row["name"]: row["state"] for row in self.view(i).get("members", [])}
 
@@ -239,3 +243,97 @@
             assert done.returncode == 2 and b"others may read it" in done.stderr
 
     run(test)
+
+
+# ---- one duty, one holder -------------------------------------------------------------------
+
+
+def records(m: Machines) -> list[tuple[float, int, str, str]]:
+    """When, which machine, event and text: of all machines in order (one clock, for it is one machine)."""
+    found = []
+    for i, rig in enumerate(m.rigs):
+        for line in rig.logged().splitlines():
+            row = orjson.loads(line)
+            found.append((row["ts"], i, row.get("event", ""), row["text"]))
+    return sorted(found)
+
+
+def holders(m: Machines) -> list[tuple[int, int]]:
+    """Who began to hold the duty, one after another, with its epoch; and each step was begun by who held it then."""
+    held: list[tuple[int, int]] = []
+    for _, i, event, text in records(m):
+        if event == "lease" and text.startswith("has 'rollout', epoch"):
+            held.append((i, int(text.split()[-1])))
+        if event == "starting" and "generation 1" not in text:
+            assert held and held[-1][0] == i, (i, text, held)
+    return held
+
+
+def orders(m: Machines, which: list[int]) -> list[asyncio.Task[Any]]:
+    return [asyncio.create_task(asyncio.to_thread(m.rigs[i].fleet, "restart")) for i in which]
+
+
+async def rolling(m: Machines, instances: int) -> None:
+    """Three machines, each a grantor, with some instances each."""
+    addresses = [f"127.0.0.1:{link.port}" for link in m.links]
+    for i, rig in enumerate(m.rigs):
+        rig.add(*(f"i{i}{j}" for j in range(instances)), mode="ok")
+        rig.policy |= {"at_once": 1}
+        rig.logging |= {"form": "json"}
+        m.launch(i, grantors=addresses, lease=1.0, seeds=addresses)
+    await m.agree()
+
+
+def test_three_machines_that_roll_out_at_once_do_so_one_after_another() -> None:
+    async def test() -> None:
+        async with machines(start=False) as m:
+            await rolling(m, 3)
+            done = await asyncio.gather(*orders(m, [0, 1, 2]))
+            assert [one.returncode for one in done] == [0, 0, 0], done
+            held = holders(m)
+            assert sorted(i for i, _ in held) == [0, 1, 2] and [e for _, e in held] == sorted(e for _, e in held)
+            shown = await asyncio.to_thread(m.rigs[0].fleet, "leases")
+            assert b"rollout: not held here" in shown.stdout, shown
+
+    run(test)
+
+
+def test_a_holder_that_is_stopped_loses_the_duty_and_begins_nothing_when_it_goes_on() -> None:
+    """Until it has it again: the other's roll-out is under way by then, and goes on undisturbed."""
+
+    async def test() -> None:
+        async with machines(start=False) as m:
+            await rolling(m, 6)
+            first = orders(m, [1])
+            await m.come(lambda: [i for i, _ in holders(m)] == [1], "the first holds it")
+            os.kill(m.pid(1), signal.SIGSTOP)
+            try:
+                second = orders(m, [2])
+                await m.come(lambda: [i for i, _ in holders(m)][-1:] == [2], "the second holds it")
+            finally:
+                os.kill(m.pid(1), signal.SIGCONT)
+            done = await asyncio.gather(*first, *second)
+            assert [one.returncode for one in done] == [0, 0], done
+            held = holders(m)
+            assert [i for i, _ in held][:2] == [1, 2] and held[-1][0] == 1
+            assert [epoch for _, epoch in held] == sorted(epoch for _, epoch in held)
+
+    run(test)
+
+
+def test_without_a_majority_nobody_rolls_out_and_with_it_again_it_goes_on() -> None:
+    async def test() -> None:
+        async with machines(start=False) as m:
+            await rolling(m, 2)
+            for i in (0, 2):
+                os.kill(m.pid(i), signal.SIGKILL)
+                await m.come(lambda i=i: m.rigs[i].started[-1].poll() is not None, "its end")  # type: ignore[misc]
+            restart = orders(m, [1])
+            await m.come(lambda: any(row["wishes"] for row in m.leases(1)), "it is asked for")
+            await m.agree(m0="dead", m2="dead")
+            assert holders(m) == []
+            m.rigs[0].launch()
+            (done,) = await asyncio.gather(*restart)
+            assert done.returncode == 0 and [i for i, _ in holders(m)] == [1]
+
+    run(test)
--- a/tests/unit/test_fleet_states.py
+++ b/tests/unit/test_fleet_states.py
@@ -529,3 +529,27 @@
     assert world.told == [] and world.fleet.instances["i0"].state is State.BUSY
     world.pass_time(2.0)
     assert world.told == [("i0", 1, How.KILL)], "asleep, it is"
+
+
+def test_a_rolling_operation_begins_a_step_only_in_its_turn_and_a_start_needs_none() -> None:
+    world = World(3, Policy(jitter=0.0, at_once=1))
+    world.fleet.turn = lambda now: False
+    world.start()
+    for i in range(3):
+        world.ready(f"i{i}", 1)
+    ident = world.begin(world.fleet.restart(world.now, list(world.fleet.instances)))
+    assert world.fleet.rolls and len(world.spawned) == 3
+    world.fleet.turn = lambda now: True
+    world.do(world.fleet.tick(world.now))
+    assert world.spawned[3:] == [("i0", 2)]
+    world.fleet.turn = lambda now: False  # it is lost in the middle of a step, which goes on
+    world.ready("i0", 2)
+    assert world.told == [("i0", 1, How.END)]
+    world.exit("i0", 1, Exit(code=0))
+    assert len(world.spawned) == 4 and ident not in world.done
+    world.fleet.turn = lambda now: True
+    for i in (1, 2):
+        world.do(world.fleet.tick(world.now))
+        world.ready(f"i{i}", 2)
+        world.exit(f"i{i}", 1, Exit(code=0))
+    assert world.done[ident].ok and not world.fleet.rolls
--- a/weldroute/fleet.py
+++ b/weldroute/fleet.py
@@ -29,7 +29,7 @@
 
 import math
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, fields
 from enum import Enum
 from random import Random
@@ -289,6 +289,7 @@
         self._at_once: list[Operation] = []  # starts and stops: nothing to wait for
         self._rolling: deque[Operation] = deque()  # the first is under way, the others wait for it
         self._out: list[Action] = []
+        self.turn: Callable[[float], bool] = lambda now: True  # whether a rolling operation may begin a step now
 
     # ---- what operators ask for ----------------------------------------------------------
 
@@ -331,6 +332,11 @@
         """Nothing runs any more after a shutdown."""
         return self.ending and not any(i.processes for i in self.instances.values())
 
+    @property
+    def rolls(self) -> bool:
+        """A rolling operation is under way, or waits for its turn."""
+        return bool(self._rolling)
+
     @property
     def operations(self) -> list[str]:
         """Progress of all operations that are under way or wait."""
@@ -662,6 +668,8 @@
             operation.faults.append(f"halted: {len(operation.todo)} left as they were")
             operation.todo.clear()
         while operation.todo and len(operation.doing) < operation.at_once:
+            if operation in self._rolling and not self.turn(now):
+                return  # what has begun goes on: a fresh process serves before the old one ends
             name, step = operation.todo.popleft()
             if name not in self.instances:
                 if step is not Step.START:
--- a/weldroute/leases.py
+++ b/weldroute/leases.py
@@ -240,6 +240,10 @@
         """The epoch with which to act at this very moment, or None: it must not."""
         return self._lease.epoch if self._lease is not None and now < self._until else None
 
+    def until(self, now: float) -> float:
+        """When it stops by its own clock; now, if it holds nothing."""
+        return self._until if self.may(now) is not None else now
+
     def saw(self, epoch: Ballot) -> None:
         """An epoch that others have acted with: its own next is higher, whatever grantors have forgotten."""
         self._seen = max(self._seen, epoch[0])
