What an observer is late after a beat is taken off a silence too

Seen: the test of starved fleets failed once in a clone's whole run beside two other suites: one of four was replaced just as the starvation ended. Checked: the supervisor's own rule is ruled out by its time limits; by reading Watched.beats: a beat that came just after the last look began the silence anew and dropped the observer's lateness with it, so that 0.9 s of lateness (under PAUSE) passed for silence. A test with exactly that fails without the mend (weldroute/vigil.py, beats).

--- a/tests/unit/test_vigil.py
+++ b/tests/unit/test_vigil.py
@@ -196,6 +196,21 @@
     assert not [act for act in fleet.run(20.0, late=0.45) if act.do is Do.REPLACE]
 
 
+def test_what_an_observer_is_late_after_a_beat_is_taken_off_too() -> None:
+    """Both wait for the same processor: it beats just after a look, and waits then as long as the observer does."""
+    fleet = Fleet(10)
+    fleet.run(5.0)
+    key = fleet.keys[0]
+
+    def after(now: float) -> Evidence:
+        turned, fleet.turned[key] = fleet.turned[key], now + 0.04
+        return Evidence(turned, runnable=True)
+
+    fleet.evidence[key] = after
+    fleet.run(0.1)
+    assert not [act for act in fleet.run(30.0, late=0.9) if act.do is Do.REPLACE]
+
+
 def test_one_that_turns_and_accepts_nothing_is_relieved_and_never_killed() -> None:
     fleet = Fleet(8)
     fleet.run(5.0)
--- a/weldroute/vigil.py
+++ b/weldroute/vigil.py
@@ -181,8 +181,8 @@
     life: Life = Life.SERVING
     aside: Finding | None = None  # why most of its new connections go to others
 
-    def beats(self, now: float, evidence: Evidence) -> None:
-        """Its loop has turned since the last look."""
+    def beats(self, now: float, evidence: Evidence, late: float) -> None:
+        """Its loop has turned since the last look, which was so late: some of that may lie after its beat."""
         if self.turned:
             gap = max(0.0, evidence.turned - self.turned - self.waited(evidence) - self.excused)
             # What lies between two looks may be several beats: a gap is never taken to be longer than it was.
@@ -192,6 +192,7 @@
             self.deviation = math.sqrt((1.0 - part) * (self.deviation**2 + part * off * off))
         self.turned = evidence.turned
         self.begin(evidence.turned, evidence)
+        self.excused = min(late, max(0.0, now - evidence.turned))
         if self.well_since < 0.0:
             self.well_since = now
 
@@ -313,7 +314,7 @@
             one.turned, one.certain_since = max(one.turned, evidence.turned), math.inf
             one.begin(now, evidence)
         elif evidence.turned > one.turned:
-            one.beats(now, evidence)
+            one.beats(now, evidence, late)
         elif evidence.progress != one.progress:
             # It serves, though it does not beat: its silence begins anew, and teaches nothing about beats.
             one.certain_since = math.inf
