Bans that hold on all machines: facts by last writer, told to instances until they say yes

Need: a ban that is given to one is to hold at all that it reaches, and after healing at all. weldroute/facts.py: hybrid logical clocks, rounds of news, digests; cometusher/mesh/orders.py tells instances by the operators' own call.

--- a/cometusher/fleet/commands.py
+++ b/cometusher/fleet/commands.py
@@ -42,15 +42,18 @@
         return _start(read_spec(path), options)
     actions: dict[str, Callable[[Place, argparse.Namespace], int]] = {
         "status": partial(_view, show=_show_status), "explain": partial(_view, show=_show_notes),
-        "members": partial(_view, show=_show_members), "leases": partial(_view, show=_show_leases), "stop": _stop,
+        "members": partial(_view, show=_show_members), "leases": partial(_view, show=_show_leases),
+        "bans": partial(_view, show=_show_bans), "stop": _stop,
     }
     return actions.get(options.action, _operate)(read_place(path), options)
 
 
-def _asked(place: Place, command: str, timeout: float, options: argparse.Namespace) -> dict[str, Any] | None:
+def _asked(
+    place: Place, command: str, timeout: float, options: argparse.Namespace, named: bool = True
+) -> dict[str, Any] | None:
     """The supervisor's answer; None if there is none to be had, which is told then."""
     try:
-        return ask(place.control, command, timeout, names=options.names)
+        return ask(place.control, command, timeout, names=options.names if named else [])
     except (NoSupervisor, ControlError) as fault:
         if options.json:
             _print({"ok": False, "error": str(fault)})
@@ -60,7 +63,7 @@
 
 def _operate(place: Place, options: argparse.Namespace) -> int:
     # A supervisor that hangs is told at once.
-    if _asked(place, "status", ANSWER, options) is None:
+    if _asked(place, "status", ANSWER, options, named=False) is None:
         return 1
     answer = _asked(place, options.action, LONGEST, options)
     if answer is None:
@@ -181,6 +184,13 @@
         print(f"  {row['duty']}: {held}" + (", asked for" if row["wishes"] else ""))
 
 
+def _show_bans(answer: dict[str, Any]) -> None:
+    for row in answer["bans"]:
+        print(f"{row['key'].removeprefix('ban:'):<24} {row['value'] or 'no more':<8} by {row['by']}, "
+              f"known here for {row['since']:.0f} s")
+    print(f"  {answer['pending']} orders that instances here have not carried out yet")
+
+
 def _stop(place: Place, options: argparse.Namespace) -> int:
     if options.names:
         return _operate(place, options)
--- a/cometusher/fleet/supervisor.py
+++ b/cometusher/fleet/supervisor.py
@@ -23,7 +23,7 @@
 
 import orjson
 
-from cometusher.config import ConfigError
+from cometusher.config import Address, ConfigError, read_address
 from cometusher.fleet import process
 from cometusher.fleet.collector import Sink, SinkHandler, Stream, Target
 from cometusher.fleet.control import ControlError, ControlServer
@@ -179,7 +179,7 @@
         if self.spec.mesh is not None:
             from cometusher.mesh.host import Mesh
 
-            self.mesh = Mesh(self.spec.mesh, self.spec.place.name, self.loop)
+            self.mesh = Mesh(self.spec.mesh, self.spec.place.name, self.loop, self._doors)
             self.fleet.turn = self.mesh.turn
         await self._settle_predecessor()
         for one in self.spec.instances.values():
@@ -451,6 +451,13 @@
                 found.append((child.holding.process, int(child.figures.get("open", 0))))
         return [] if self.fleet.ending else found
 
+    def _doors(self) -> Iterator[tuple[Key, Address]]:
+        """Processes that are ready, and where operators call them, if they can."""
+        for child, phase in self._in_phases():
+            door = child.spec.values.get("management")
+            if phase is Phase.READY and door:
+                yield (child.name, child.generation), read_address(str(door), "management")
+
     def _returning(self, name: str) -> dict[str, Any]:
         """What a process is told of its return, as a part of its file."""
         spec, memory, herd = self.spec.comeback, self.memory, self.fleet.herd
@@ -730,6 +737,8 @@
         names = request.get("names") or []
         if not isinstance(names, list) or not all(isinstance(name, str) for name in names):
             raise ControlError("names: not a list of names")
+        if command in ("members", "leases", "bans", "ban", "unban"):
+            return self._serve_mesh(command, names)
         unknown = [name for name in names if name not in self.fleet.instances]
         if unknown:
             raise ControlError(f"no such instance: {', '.join(map(repr, unknown[:5]))}")
@@ -737,10 +746,6 @@
             return self.status(names)
         if command == "explain":
             return self._explain(names)
-        if command in ("members", "leases"):
-            if self.mesh is None:
-                raise ControlError("the fleet's file has no table [mesh]")
-            return self.mesh.view() if command == "members" else self.mesh.leases()
         self._not_ending()
         now = self.loop.time()
         if command == "start":
@@ -759,6 +764,21 @@
             raise ControlError(f"unknown command {command!r}")
         return self._told(await self._finish(begun))
 
+    def _serve_mesh(self, command: str, names: list[str]) -> dict[str, Any]:
+        """What is said and seen of the whole fleet."""
+        mesh = self.mesh
+        if mesh is None:
+            raise ControlError("the fleet's file has no table [mesh]")
+        if command in ("ban", "unban"):
+            if not names:
+                raise ControlError(f"{command}: which backends?")
+            left = mesh.ban(names, command == "ban")
+            if left:
+                raise ControlError(f"could not be said of {', '.join(map(repr, left[:5]))}: no room, or too long")
+            return {"text": f"{command}: {', '.join(names)}"}
+        views = {"members": mesh.view, "leases": mesh.leases, "bans": mesh.bans}
+        return views[command]()
+
     def _explain(self, names: list[str]) -> dict[str, Any]:
         """What the watch has seen and done of late."""
         if self.watch is None:
--- a/cometusher/mesh/frames.py
+++ b/cometusher/mesh/frames.py
@@ -22,7 +22,7 @@
 
 import msgspec
 
-from weldroute import leases, members
+from weldroute import facts, leases, members
 from weldroute.links import Kind
 
 FORM = 1
@@ -33,13 +33,14 @@
 LEAST_KEY = 16  # bytes
 HELLO, HERE, ASK = 0, 1, 8  # kinds of frames that carry no message: the last asks for the one before
 
-Message = members.Message | leases.Request | leases.Answer
+Message = members.Message | leases.Request | leases.Answer | facts.Message
 
 KINDS: dict[int, tuple[type[Any], Kind]] = {
     2: (members.Ping, Kind.PROBE), 3: (members.Ack, Kind.PROBE), 4: (members.Nack, Kind.PROBE),
     5: (members.PingFor, Kind.PROBE), 6: (members.Gossip, Kind.NEWS), 7: (members.Sync, Kind.WHOLE),
     16: (leases.Prepare, Kind.LEASE), 17: (leases.Promise, Kind.LEASE), 18: (leases.Propose, Kind.LEASE),
     19: (leases.Accepted, Kind.LEASE), 20: (leases.Rejected, Kind.LEASE), 21: (leases.Released, Kind.LEASE),
+    24: (facts.News, Kind.NEWS), 25: (facts.Digest, Kind.WHOLE),
 }
 _NUMBERS = {form: number for number, (form, _) in KINDS.items()}
 _DECODERS = {number: msgspec.msgpack.Decoder(form) for number, (form, _) in KINDS.items()}
--- a/cometusher/mesh/host.py
+++ b/cometusher/mesh/host.py
@@ -3,19 +3,27 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import secrets
 import socket
+import time
 from typing import Any
 
 from cometusher.fleet.spec import MeshSpec, read_secret
 from cometusher.mesh.duties import Duties
 from cometusher.mesh.frames import Message
 from cometusher.mesh.node import Node
+from cometusher.mesh.orders import Doors, Orders
 from cometusher.mesh.wires import Me, Reach, Wires, reach
-from weldroute import leases
+from weldroute import facts, leases
+from weldroute.facts import OVER, FactPolicy, Facts
 from weldroute.links import LinkPolicy
 from weldroute.members import Members
 
+log = logging.getLogger(__name__)
+
+BAN = "ban:"  # before a backend's name, the key of the fact that it is banned
+SPREAD = 0.1  # seconds between looks at facts
 ROLLOUT = "rollout"  # the duty of who replaces instances a few at a time
 FAREWELL = 0.2  # seconds in which the word that it leaves may go out
 WAITING = 128  # connections that wait to be accepted
@@ -24,8 +32,12 @@
 class Mesh:
     """One member and its links."""
 
-    def __init__(self, spec: MeshSpec, fleet: str, loop: asyncio.AbstractEventLoop, reach: Reach = reach) -> None:
-        """Raises OSError or ConfigError, for an address that is taken or a secret that can't be used."""
+    def __init__(
+        self, spec: MeshSpec, fleet: str, loop: asyncio.AbstractEventLoop, doors: Doors = tuple, reach: Reach = reach
+    ) -> None:
+        """`doors`: processes that are ready, and their operators' addresses.
+
+        Raises OSError or ConfigError, for an address that is taken or a secret that can't be used."""
         self._spec = spec
         key = read_secret(spec.secret)
         view = Members(
@@ -49,13 +61,38 @@
         self.duties = Duties(
             loop, spec.lease, name, spec.address, spec.grantors, self.wires.send, secrets.randbits(62)
         ) if spec.grantors else None
+        self.facts = Facts(FactPolicy(), fleet, spec.name, secrets.randbits(62))
+        self.orders = Orders(loop, doors, lambda: self.facts.said(BAN))
+        self._timer: asyncio.TimerHandle | None = None
 
     def _hear(self, address: str, message: Message) -> None:
-        if not isinstance(message, leases.Request | leases.Answer):
+        if isinstance(message, facts.News | facts.Digest):
+            new, answers = self.facts.hear(self._loop.time(), time.time(), message)
+            for fact in new:
+                how = "over" if fact.value == OVER else fact.value
+                text = f"{fact.key} is {how}, says {fact.stamp[2]}"
+                log.info("%s", text, extra={"event": "fact", "key": fact.key})
+            for answer in answers:
+                self.wires.send(address, answer)
+        elif not isinstance(message, leases.Request | leases.Answer):
             self.node.hear(address, message)
         elif self.duties is not None:
             self.duties.hear(address, message)
 
+    def _spread(self) -> None:
+        others = [row.address for row in self.node.view.alive]
+        for address, message in self.facts.look(self._loop.time(), time.time(), others):
+            self.wires.send(address, message)
+        self._timer = self._loop.call_later(SPREAD, self._spread)
+
+    def ban(self, hosts: list[str], out: bool) -> list[str]:
+        """Say that backends are banned, or no more; those of which it could not be said, for want of room."""
+        said = [
+            host for host in hosts
+            if self.facts.write(self._loop.time(), time.time(), BAN + host, "banned" if out else OVER) is not None
+        ]
+        return [host for host in hosts if host not in said]
+
     def turn(self, now: float) -> bool:
         """Whether a rolling operation may begin a step at this moment: no other machine may, or nobody decides."""
         return self.duties is None or self.duties.may(ROLLOUT) is not None
@@ -69,9 +106,14 @@
         """Be a member from here on."""
         await self.wires.start(self._listener)
         self.node.start()
+        self.orders.start()
+        self._spread()
 
     async def close(self) -> None:
         """Leave in order: some are told, and there is a moment for that."""
+        self.orders.close()
+        if self._timer is not None:
+            self._timer.cancel()
         if self.duties is not None:
             self.duties.close()
         self.node.stop()
@@ -87,6 +129,13 @@
             "refused": self.wires.links.refused, "ended": self.wires.links.ended,
         }
 
+    def bans(self) -> dict[str, Any]:
+        """What the fleet has said of backends, and how many orders instances here have not said yes to."""
+        return {
+            "bans": self.facts.view(self._loop.time()), "pending": self.orders.pending(),
+            "refused": self.facts.refused,
+        }
+
     def leases(self) -> dict[str, Any]:
         """Who decides, and what this member has."""
         return {
