Links open their listener and read addresses as the rest does; what nobody calls is gone

On re-reading: the mesh had a copy of seam.open_listener and a second reader of host:port beside config.read_address, spec.py asked three times in its own words whether an address is numeric with a port, Wires took a way to dial that nobody handed in, and Outbox.drain served tests alone. One of each now. A bracketed IPv6 seed is read, which the copy refused.

--- a/cometusher/fleet/spec.py
+++ b/cometusher/fleet/spec.py
@@ -15,7 +15,7 @@
 import orjson
 
 from cometusher import config
-from cometusher.config import Address, ConfigError
+from cometusher.config import Address, ConfigError, read_address
 from cometusher.tables import Table, read_file
 from weldroute.comeback import Plan
 from weldroute.fleet import Policy
@@ -309,7 +309,7 @@
         return None
     table, usual = root.table("mesh"), MemberPolicy()
     listen = table.address("listen")
-    if not 1 <= listen[1] <= 65535 or not _numeric(listen[0]):
+    if not _numeric(listen):
         raise table.fault("listen", "not an IP address and a port from 1 to 65535")
     address = "{}:{}".format(*table.address("address", "{}:{}".format(*listen)))
     seeds, grantors = _read_members(table, "seeds"), _read_members(table, "grantors")
@@ -334,8 +334,11 @@
     """Addresses of other members."""
     found = table.texts(key)
     for one in found:
-        host, _, port = one.rpartition(":")
-        if not host or not port.isdecimal() or not 1 <= int(port) <= 65535 or not _numeric(host):
+        try:
+            good = _numeric(read_address(one, key))
+        except ConfigError:
+            good = False
+        if not good:
             raise table.fault(key, f"{one!r} is not an IP address and a port")
     return found
 
@@ -391,13 +394,16 @@
     )
 
 
-def _numeric(host: str) -> bool:
-    """A name would have to be looked up, which blocks and needs threads; neither goes with forking."""
+def _numeric(address: Address) -> bool:
+    """Whether it is an IP address and a port.
+
+    A name would have to be looked up, which blocks and needs threads; neither goes with forking.
+    """
     try:
-        ipaddress.ip_address(host)
+        ipaddress.ip_address(address[0])
     except ValueError:
         return False
-    return True
+    return 1 <= address[1] <= 65535
 
 
 class _Reader:
@@ -433,7 +439,7 @@
             raise table.fault("name", f"{name!r} is there twice")
         if listen in self._addresses:
             raise table.fault("listen", f"{listen[0]}:{listen[1]} is also {self._addresses[listen]!r}'s")
-        if not 1 <= listen[1] <= 65535 or not _numeric(listen[0]):
+        if not _numeric(listen):
             raise table.fault("listen", "not an IP address and a port from 1 to 65535")
         if len(self.instances) >= MOST:
             raise table.fault("", f"more than {MOST} instances")
--- a/cometusher/mesh/host.py
+++ b/cometusher/mesh/host.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import secrets
-import socket
 import time
 from typing import Any
 
@@ -14,7 +13,8 @@
 from cometusher.mesh.frames import Message
 from cometusher.mesh.node import Node
 from cometusher.mesh.orders import Doors, Orders
-from cometusher.mesh.wires import Me, Reach, Wires, reach
+from cometusher.mesh.wires import Me, Wires
+from cometusher.seam import open_listener
 from weldroute import facts, leases
 from weldroute.facts import OVER, FactPolicy, Facts
 from weldroute.links import LinkPolicy
@@ -26,35 +26,27 @@
 SPREAD = 0.1  # seconds between looks at facts
 ROLLOUT = "rollout"  # the duty of who replaces instances a few at a time
 FAREWELL = 0.2  # seconds in which the word that it leaves may go out
-WAITING = 128  # connections that wait to be accepted
 
 
 class Mesh:
     """One member and its links."""
 
     def __init__(
-        self, spec: MeshSpec, fleet: str, loop: asyncio.AbstractEventLoop, doors: Doors = tuple, reach: Reach = reach
+        self, spec: MeshSpec, fleet: str, loop: asyncio.AbstractEventLoop, doors: Doors = tuple
     ) -> None:
         """`doors`: processes that are ready, and their operators' addresses.
 
-        Raises OSError or ConfigError, for an address that is taken or a secret that can't be used."""
+        Raises OSError or ConfigError, for an address that is taken or a secret that can't be used.
+        """
         self._spec = spec
         key = read_secret(spec.secret)
         view = Members(
             spec.policy, fleet, spec.name, spec.address, spec.seeds, loop.time(), secrets.randbits(62), spec.zone
         )
         me = Me(fleet, spec.name, view.me.life, spec.address)
-        self._listener = socket.socket(socket.AF_INET6 if ":" in spec.listen[0] else socket.AF_INET)
-        try:
-            self._listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            self._listener.bind(spec.listen)
-            self._listener.listen(WAITING)
-        except OSError:
-            self._listener.close()
-            raise
-        self._listener.setblocking(False)
+        self._listener = open_listener(spec.listen)
         self._loop = loop
-        self.wires = Wires(loop, me, key, LinkPolicy(), secrets.randbits(62), self._hear, reach)
+        self.wires = Wires(loop, me, key, LinkPolicy(), secrets.randbits(62), self._hear)
         self.node = Node(loop, view, self.wires)
         # Its life too: a process that is stopped and one that has followed it are two.
         name = f"{spec.name}#{view.me.life:x}"
--- a/cometusher/mesh/wires.py
+++ b/cometusher/mesh/wires.py
@@ -14,6 +14,7 @@
 from dataclasses import dataclass
 from typing import cast
 
+from cometusher.config import ConfigError, read_address
 from cometusher.mesh.frames import BadFrame, Message, Session, decode, encode
 from weldroute.links import End, LinkPolicy, Links, stays
 
@@ -24,7 +25,6 @@
 UNGREETED = 64  # accepted connections whose other end has not proven itself
 
 Hear = Callable[[str, Message], None]
-Reach = Callable[[str], tuple[str, int]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,12 +37,6 @@
     address: str  # as others are told of it
 
 
-def reach(address: str) -> tuple[str, int]:
-    """Where an address is dialled; raises ValueError for one that is none."""
-    host, _, port = address.rpartition(":")
-    return host, int(port)
-
-
 class Wire(asyncio.Protocol):
     """One connection."""
 
@@ -117,17 +111,15 @@
     """All links of one member."""
 
     def __init__(
-        self, loop: asyncio.AbstractEventLoop, me: Me, key: bytes, policy: LinkPolicy, seed: int, hear: Hear,
-        reach: Reach = reach,
+        self, loop: asyncio.AbstractEventLoop, me: Me, key: bytes, policy: LinkPolicy, seed: int, hear: Hear
     ) -> None:
-        """`reach` says where an address is dialled; raises ValueError for a key that is too short."""
+        """Raises ValueError for a key that is too short."""
         Session(key, me.fleet, me.name, me.life, me.address, True)
         self.me, self.key = me, key
         self.links = Links(policy, seed)
         self.bad = 0  # links that were ended for what came over them
         self._loop = loop
         self._hear = hear
-        self._reach = reach
         self._wires: dict[str, tuple[Wire, End]] = {}  # those that are up, by the neighbour's address
         self._young: dict[Wire, float] = {}  # those whose handshake is not over, and since when
         self._dials: set[asyncio.Task[None]] = set()
@@ -242,10 +234,10 @@
 
     async def _connect(self, address: str) -> None:
         try:
-            host, port = self._reach(address)
+            host, port = read_address(address, "member")
             async with asyncio.timeout(self.links.policy.dial_for):
                 _, wire = await self._loop.create_connection(lambda: Wire(self, address), host, port)
-        except (OSError, ValueError, OverflowError) as fault:
+        except (OSError, ConfigError) as fault:
             self.links.failed(self._loop.time(), address)
             log.debug("%s can't be reached: %s", address, fault)
         else:
--- a/tests/unit/test_links.py
+++ b/tests/unit/test_links.py
@@ -17,12 +17,17 @@
 SMALL = replace(POLICY, waiting=100, messages=8)
 
 
+def all_of(box: Outbox, now: float) -> list[bytes | None]:
+    """What goes out, in its order."""
+    return list(iter(lambda: box.next(now), None))
+
+
 def test_what_matters_most_goes_out_first_and_in_its_order() -> None:
     box = Outbox(POLICY)
     hint, news, probe, lease = Kind.HINT, Kind.NEWS, Kind.PROBE, Kind.LEASE
     for kind, data in ((hint, b"h"), (news, b"n1"), (probe, b"p"), (news, b"n2"), (lease, b"l")):
         box.put(0.0, kind, data)
-    assert list(box.drain(0.0)) == [b"l", b"p", b"n1", b"n2", b"h"] and box.bytes == box.count == 0
+    assert all_of(box, 0.0) == [b"l", b"p", b"n1", b"n2", b"h"] and box.bytes == box.count == 0
 
 
 def test_hints_make_room_first_and_nothing_for_what_goes_out_after_it() -> None:
@@ -31,7 +36,7 @@
     assert box.put(0.0, Kind.NEWS, b"n" * 55) and box.dropped[Kind.HINT] == 1
     assert not box.put(0.0, Kind.HINT, b"h" * 20) and box.dropped[Kind.HINT] == 2
     assert not box.put(0.0, Kind.LEASE, b"l" * 101), "not even alone"
-    assert list(box.drain(0.0)) == [b"l" * 40, b"n" * 55], "and nothing was given up for what does not fit"
+    assert all_of(box, 0.0) == [b"l" * 40, b"n" * 55], "and nothing was given up for what does not fit"
 
 
 @given(st.lists(st.tuples(st.sampled_from(Kind), st.integers(0, 60), st.floats(0.0, 0.4)), max_size=60))
@@ -92,7 +97,7 @@
         links.is_up(2.0, address)
     assert links.put(2.0, "d:1", Kind.NEWS, b"x") is None and links.refused == 1
     links.failed(3.0, "b:1")
-    list(links.neighbours["b:1"].outbox.drain(3.0))
+    all_of(links.neighbours["b:1"].outbox, 3.0)
     assert links.dials(100.0) == []
 
 
--- a/weldroute/links.py
+++ b/weldroute/links.py
@@ -27,7 +27,6 @@
 
 import math
 from collections import deque
-from collections.abc import Iterator
 from dataclasses import dataclass, field
 from enum import IntEnum
 from random import Random
@@ -132,11 +131,6 @@
                 return self._take(kind)
         return None
 
-    def drain(self, now: float) -> Iterator[bytes]:
-        """All that is to go out, as long as it is asked for."""
-        while (data := self.next(now)) is not None:
-            yield data
-
 
 @dataclass(slots=True)
 class Neighbour:
