A zone that all lose within a moment is nobody's fault again

Line at fault: Siblings._path.

Change: attempts count a look later, against what siblings have just had as well.

--- a/tests/unit/test_siblings.py
+++ b/tests/unit/test_siblings.py
@@ -100,6 +100,22 @@
     assert world.found == []
 
 
+@pytest.mark.parametrize("seed", range(20))
+def test_kept_connections_that_break_for_all_within_a_moment_are_nobodys_fault(seed: int) -> None:
+    """One's a look before the others': five each, beside what is asked meanwhile."""
+    world = World(5, 16.0, seed)
+    world.run(5.0)
+    first = world.keys[seed % 5]
+    for key in (first, *(one for one in world.keys if one != first)):
+        world.cut.add((key, 1))
+        for _ in range(5):
+            world.counting[key].ended(1, Outcome.BROKEN, 0.01)
+        if key == first:
+            world.run(EVERY)
+    world.run(8.0)
+    assert world.found == []
+
+
 @pytest.mark.parametrize("rate", [20.0, 100.0])
 @pytest.mark.parametrize("seed", range(5))
 def test_one_that_is_five_times_slower_is_found_and_all_that_are_slow_together_are_not(
--- a/weldroute/siblings.py
+++ b/weldroute/siblings.py
@@ -51,7 +51,8 @@
 SPREAD = 0.3  # no spread of logarithms of times is taken to be less
 LEEWAY = 0.1  # under the logarithm of `slower`: from here on an answer speaks for slowness...
 EACH = 1.5  # ...with so many decades at most, or a single late one would be enough
-SOON = 0.1  # seconds: when all become slow at once, this much later it shows in what is compared with
+SOON = 0.1  # seconds: when all become slow, or lose a zone, at once, it shows in what is compared with so much later
+FEW = 2.0  # attempts of siblings to a zone within that are enough to show it
 HOLDS = 1.0  # times the threshold, over which what speaks for slowness does not grow
 LASTS = 0.5  # of the pace at which it fades, at the least: a portion may bring no answers at all
 LOG10 = math.log(10.0)
@@ -243,7 +244,9 @@
     faded: Faded = field(default_factory=Faded)
     slow: float = 0.0  # Page's sum of what speaks for its being slow; natural units...
     paths: list[float] = field(default_factory=lambda: [0.0] * ZONES)  # ...and for each zone's path being lost
-    attempts: list[tuple[int, int]] = field(default_factory=lambda: [(0, 0)] * ZONES)  # of this look: missed, reached
+    attempts: list[tuple[int, int]] = field(default_factory=lambda: [(0, 0)] * ZONES)  # at this look: missed, reached
+    judged: list[tuple[int, int]] = field(default_factory=lambda: [(0, 0)] * ZONES)  # at the look before
+    lately: list[tuple[float, float]] = field(default_factory=lambda: [(0.0, 0.0)] * ZONES)  # fading with SOON
     fresh: tuple[int, float] = (0, 0.0)  # answers at the last look, and the sum of the logarithms of their times...
     soon: tuple[float, float] = (0.0, 0.0)  # ...and the same of the last moments, fading with SOON
     behind_since: float = math.inf
@@ -282,10 +285,15 @@
             kept = part ** max(LASTS, PORTIONS[one.step])
             one.slow *= kept
             one.paths = [kept**PATHS_FADE * each for each in one.paths]
+            one.judged = one.attempts
             one.attempts = [
                 (max(0, account.missed[zone] - one.account.missed[zone]),
                  max(0, account.reached[zone] - one.account.reached[zone])) for zone in range(ZONES)
             ]
+            one.lately = [
+                (old[0] * soon + new[0], old[1] * soon + new[1])
+                for old, new in zip(one.lately, one.attempts, strict=True)
+            ]
             one.faded.add(account, one.account)
             one.fresh = max(0, account.answered - one.account.answered), account.logs - one.account.logs
             one.soon = one.soon[0] * soon + one.fresh[0], one.soon[1] * soon + one.fresh[1]
@@ -316,6 +324,10 @@
             total.join(one.faded)
             count += one.soon[0]
             logs += one.soon[1]
+        lately = [
+            (sum(one.lately[zone][0] for one in ones), sum(one.lately[zone][1] for one in ones))
+            for zone in range(ZONES)
+        ]
         usual = _middle(one.account.version for one in ones)
         found: dict[Key, Finding] = {}
         fewer_full = 2 * sum(one.account.full for one in ones) < len(ones)
@@ -327,7 +339,8 @@
             least = self.policy.unlike * (1.0 if one.found is None else 0.5)
             # In any case: what speaks for either adds up also while something else is found.
             slow = self._slow(one, rest, count - one.soon[0], logs - one.soon[1], least)
-            path = self._path(one, rest, least)
+            others = [(a[0] - b[0], a[1] - b[1]) for a, b in zip(lately, one.lately, strict=True)]
+            path = self._path(one, rest, others, least)
             finding = self._full(one, fewer_full) or self._behind(now, one, usual) or path or slow
             if finding is not None:
                 found[key] = finding
@@ -346,15 +359,24 @@
         text = f"its list is version {one.account.version}, half of all have {usual} for {since:.1f} s"
         return Finding(Why.BEHIND, math.inf, text)
 
-    def _path(self, one: Compared, rest: Faded, least: float) -> Finding | None:
-        """What its attempts of this look add to what speaks for a lost path; whether that is enough."""
+    def _path(
+        self, one: Compared, rest: Faded, lately: Sequence[tuple[float, float]], least: float
+    ) -> Finding | None:
+        """What its attempts of the look before add to what speaks for a lost path; whether that is enough.
+
+        Of the look before, and beside what siblings have just had (`lately`: missed, reached): where a zone is lost
+        for all, all connections there break within a moment, and one's a little before the rest.
+        """
         finding = None
-        for zone, (missed, reached) in enumerate(one.attempts):
+        for zone, (missed, reached) in enumerate(one.judged):
             others = rest.reached[zone] + rest.missed[zone]
             if others <= 0.0:
                 one.paths[zone] = 0.0
                 continue  # nobody would know better
             usual = rest.missed[zone] / others
+            just_missed, just_reached = lately[zone]
+            if just_missed + just_reached >= FEW:
+                usual = max(usual, just_missed / (just_missed + just_reached))
             one.paths[zone] = self._sum(one.paths[zone], lost_path(missed, reached, usual))
             rarity = one.paths[zone] / LOG10
             if rarity >= least and finding is None:
