The upgrade's test waits until what was learned is kept

Seen: it failed once in a whole run and once in 12 alone: the newer process had taken over nothing of one backend. Cause by reading: Succession.look writes what was learned once a second, and the test started the newer process without waiting for that.

--- a/tests/loopback/test_upgrade.py
+++ b/tests/loopback/test_upgrade.py
@@ -7,6 +7,7 @@
 from collections.abc import AsyncIterator
 from pathlib import Path
 
+import orjson
 import pytest
 from rig import PATIENCE, SETTINGS, Backend, Discovery, Seen, Writer, reply
 from test_proxy import run
@@ -79,6 +80,21 @@
     run(test)
 
 
+async def kept_of(p: Platform, count: int) -> None:
+    """Wait until what was learned of so many backends is kept: it is written once a second."""
+    async with asyncio.timeout(PATIENCE):
+        while not any(len(servers_in(path)) == count for path in p.folder.rglob("learned*")):
+            await asyncio.sleep(0.02)
+
+
+def servers_in(path: Path) -> list[object]:
+    try:
+        form = orjson.loads(path.read_bytes().partition(b"\n")[2])  # behind its check sum
+    except (OSError, orjson.JSONDecodeError):
+        return []  # it is being replaced
+    return list(form.get("servers", []))
+
+
 def test_bans_drains_and_the_learned_outlive_an_upgrade_and_reach_both(tmp_path: Path) -> None:
     async def test() -> None:
         async with platform(tmp_path) as p:
@@ -86,6 +102,7 @@
             for _ in range(30):
                 assert (await p.call())[0] == 200
             assert await p.operate(old, "exclude", b'{"who":"s-1"}') == 200
+            await kept_of(p, 2)
             new = await p.launch()
             assert "took over what was learned of 2 backends" in p.log(1)
             for _ in range(30):
