A change of the list is known within 6 s of discovery having it, whatever failed before

Seen: a probe on the virtual clock with the real proxy and a discovery that fails in one of six ways and comes back at 24 moments. Where discovery is asked, the change was known up to 11.2 s (calls refused, reset, 503, ended), 9.9 s (never connected) and 21.6 s (silent) after discovery was well; pushed, 4.9 s at most. One watch that falls silent: 3.3 s pushed, 4.5 s asked.

Cause: Balancer.members doubles the pause after a failed call up to `ask_within` (10 s), times 1.5 of jitter; discovery.CALL_WAIT let a call stay silent for 20 s. Pushed, 4.2 s of silence, a connect and a pause of up to 3 s could add up to more than 6 s. Ruled out: the order of events at a move by SIGHUP (a test shows that no word of the old address is heard after it).

Change: 3 s of silence end a watch or a call, pauses are 0.05 to 1.5 s pushed, 0.25 to 2.4 s asked. First calls of instances that start together are spread over 2 s. A message may be indented over several lines and need not end with a line end; one that is cut off is asked for again at the next heartbeat. "silence" is named in the log, where nothing stood.

--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -23,11 +23,16 @@
 log = logging.getLogger(__name__)
 
 STATES = {"in_service": State.UP, "terminating": State.DRAINING, "terminated": State.GONE}
-HEARTBEAT = 4.2  # seconds of silence after which a watch is dead; an empty line is due every 2 s
-CALL_WAIT = 20.0  # seconds that a call may wait in turn, where discovery is asked
-CONNECT = 1.0
-BACKOFF_FROM, BACKOFF_TO = 0.1, 2.0
-MAX_LINE = 16 * 1024 * 1024
+# A change has to be known 6 s after discovery had it and could be reached, whatever failed before. The longest way to
+# it is a call that stays without an answer, opened just before discovery could be reached again, and one retry:
+# 3.0 + 1.5 s where lists are pushed. Where discovery is asked the retry is the module's: 3.0 + 2.4 s.
+HEARTBEAT = 3.0  # seconds of silence after which a watch is dead; an empty line is due every 2 s
+FIRST_ANSWER = 3.0  # seconds that a call may wait for the first byte of its answer
+CONNECT = 1.0  # seconds until a connection is up
+BACKOFF_FROM, BACKOFF_TO = 0.1, 1.0  # seconds between tries where lists are pushed, before jitter of half as much
+MAX_MESSAGE = 16 * 1024 * 1024  # bytes of one message, in any number of lines
+
+_STRING = re.compile(rb'"(?:[^"\\]|\\.)*+"')
 
 _HEX = re.compile(r"(?:^|.*[-_.])([0-9a-f]{1,8})")
 
@@ -102,33 +107,61 @@
 
 
 class _Body:
-    """The lines of an answer, out of its bytes."""
+    """The messages of an answer, out of its bytes: one JSON object each, on one line or indented over several.
+
+    An empty line belongs to no message; one within a message says that its rest is lost.
+    """
 
     def __init__(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._rest = b""
-        self.lines: list[bytes] = []
+        self._line = b""  # the part of a line that has come
+        self._lines: list[bytes] = []  # of a message that is not whole
+        self._size = 0  # bytes of them
+        self._depth = 0  # brackets that are open in them
+        self.messages: list[bytes] = []
         self.status = 0
         self.ended = False
 
     def feed(self, data: bytes) -> None:
+        """Take the next bytes; raises Unreadable."""
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as fault:
             raise Unreadable(f"malformed HTTP: {fault}") from None
 
+    def finish(self) -> None:
+        """No more bytes come: a last line needs no line end."""
+        self._take_line(self._line)
+        self._line = b""
+
     def on_headers_complete(self) -> None:
         self.status = self._parser.get_status_code()
 
     def on_body(self, data: bytes) -> None:
-        *lines, self._rest = (self._rest + data).split(b"\n")
-        self.lines += lines
-        if len(self._rest) > MAX_LINE:
-            raise Unreadable("a line without end")
+        *lines, self._line = (self._line + data).split(b"\n")
+        for line in lines:
+            self._take_line(line)
+        if self._size + len(self._line) > MAX_MESSAGE:
+            raise Unreadable("a message without end")
 
     def on_message_complete(self) -> None:
+        self.finish()
         self.ended = True
 
+    def _take_line(self, line: bytes) -> None:
+        if not line.strip():
+            if self._lines:
+                raise Unreadable("a message that is not whole")
+            return
+        self._lines.append(line)
+        self._size += len(line)
+        bare = _STRING.sub(b"", line)
+        self._depth += bare.count(b"{") + bare.count(b"[") - bare.count(b"}") - bare.count(b"]")
+        if self._depth <= 0:
+            self.messages.append(b"\n".join(self._lines))
+            self._lines = []
+            self._size = self._depth = 0
+
 
 class Discovery:
     """The watch of one proxy."""
@@ -203,62 +236,63 @@
             await asyncio.wait([self._task])
 
     async def _once(self) -> None:
-        await self._attempt(CALL_WAIT)
+        await self._attempt()
         self._changed(ListKind.BROKEN, ())
 
     async def _keep(self) -> None:
         backoff = BACKOFF_FROM
         while True:
-            await self._attempt(HEARTBEAT)
+            await self._attempt()
             if self._told:
                 backoff = BACKOFF_FROM
             # Jittered: all proxies lost the same service at the same time.
             await asyncio.sleep(backoff * (0.5 + self._rng.random()))
             backoff = min(2.0 * backoff, self.patience)
 
-    async def _attempt(self, first_wait: float) -> None:
+    async def _attempt(self) -> None:
         """One watch until it ends, whatever ends it."""
         self._told = False
         try:
-            await self._watch(first_wait)
+            await self._watch()
         except (OSError, EOFError, TimeoutError, Unreadable) as fault:
-            log.info("discovery: the watch ended: %s", fault or type(fault).__name__)
+            log.info("discovery: the watch ended: %s", str(fault) or "silence")
         except Exception:
             log.exception("discovery: the watch failed")
         self.heard.set()
 
-    async def _watch(self, first_wait: float) -> None:
+    async def _watch(self) -> None:
         async with asyncio.timeout(CONNECT):
             reader, writer = await asyncio.open_connection(*self._address)
         try:
             host = "{}:{}".format(*self._address)
             writer.write(f"GET /discovery/hosts?watch=1&from={self._seq} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
             body = _Body()
-            wait = first_wait
+            wait = FIRST_ANSWER
             while not body.ended:
                 # A machine that vanishes says nothing: only missing heartbeats tell.
                 async with asyncio.timeout(wait):
                     data = await reader.read(65536)
-                if not data:
-                    raise EOFError("ended by discovery")
-                body.feed(data)
+                wait = HEARTBEAT
+                if data:
+                    body.feed(data)
+                else:
+                    body.finish()
                 if body.status and body.status != 200:
                     raise Unreadable(f"status {body.status}")
-                if body.status:
-                    wait = HEARTBEAT
-                lines, body.lines = body.lines, []
-                for line in lines:
-                    if line.strip():
-                        self._line(line)
+                messages, body.messages = body.messages, []
+                for message in messages:
+                    self._hear(message)
+                if not data:
+                    raise EOFError("ended by discovery")
         finally:
             writer.close()
 
-    def _line(self, line: bytes) -> None:
+    def _hear(self, message: bytes) -> None:
         try:
-            listing = read_listing(orjson.loads(line), self._zones)
+            listing = read_listing(orjson.loads(message), self._zones)
         except orjson.JSONDecodeError as fault:
             # What it told is lost: a new watch from the last good version brings it again.
-            raise Unreadable(f"a line is not JSON: {fault}") from None
+            raise Unreadable(f"a message is not JSON: {fault}") from None
         if not listing.whole and listing.seq < self._seq:
             # A change to a list that is older than ours would undo what we know.
             self._seq = 0
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -63,6 +63,10 @@
 TOLL = 5.0  # a crossing of zones weighs its price x this part of the aim, as latency
 WORKING_EVERY = 3.0  # seconds between looks at the size of the working set
 
+# A change counts as known 6 s after discovery could be reached, whatever failed before; a call may take 3 s of that.
+ASK_FIRST_WITHIN = 2.0  # seconds over which the first calls of instances that start together are spread
+ASK_AGAIN_FROM, ASK_AGAIN_TO = 0.5, 1.6  # seconds after a failed call until the next, before jitter of half as much
+
 PUT_BACK_WITHIN = 3.0  # seconds after a ban in which a server gets its first call, where...
 PUT_BACK_CALLERS = 10  # ...so many instances, or fewer, call it
 
@@ -594,7 +598,7 @@
         self.rate_at = 0.0
         self.entry = Entry(settings) if settings.tier == 0 else None
         self.asking = False
-        self.backoff = 1.0
+        self.backoff = ASK_AGAIN_FROM
 
     # ---- the list of servers -------------------------------------------------------------
 
@@ -602,8 +606,7 @@
         """Call once, after the first list was given."""
         if self.settings.discovery is not Discovery.ON_REQUEST:
             return []
-        # All instances start together: spread the first calls over what the rules allow unasked.
-        return self._ask_in(now, 0.4 * self.settings.rules.ask_within * self.rng.random())
+        return self._ask_in(now, min(ASK_FIRST_WITHIN, 0.4 * self.settings.rules.ask_within) * self.rng.random())
 
     def _ask_in(self, now: float, delay: float) -> list[Action]:
         if self.asking:
@@ -615,11 +618,11 @@
         """A list, a change to it, or the news that a call to discovery failed."""
         if kind is ListKind.BROKEN:
             # Jittered and doubling: every instance lost the same service at the same time.
-            delay = self.backoff * (0.5 + self.rng.random())
-            self.backoff = min(2.0 * self.backoff, max(1.0, self.settings.rules.ask_within))
+            delay = min(self.backoff * (0.5 + self.rng.random()), self.settings.rules.ask_within)
+            self.backoff = min(2.0 * self.backoff, ASK_AGAIN_TO)
             return self._ask_in(now, delay)
         if kind is not ListKind.STALE:
-            self.backoff = 1.0
+            self.backoff = ASK_AGAIN_FROM
         if kind is not ListKind.PATCH:
             listed = {row.server for row in rows}
             for server in self.servers.values():
