What waited for a connection is judged again before it is sent; callers' ends are seen at once

Causes and mends: - Proxy._send wrote the time left into the head before the connection was made. The head is made when it is written. - Backends._connect asked only whether the request was still open. A server that drains or is gone by then, and a keyed repeat whose window has passed, were written to. Balancer.permits judges all of that. - The end of a caller's connection was known only when the event loop came to it: with an idle connection to a backend, a request that was read together with its caller's end was sent, and so was a further attempt. Asked of the socket before each attempt, by one poll. - CallerConnection.close and Callers.take closed idle connections over a request in the kernel. They look first. - CallerConnection._answered closed at once behind `Connection: close`; over unread bytes that resets. It ends its sending and reads on. - cut_answer closed without a reset: a client of HTTP/1.0 took a part of an answer of unknown length for the whole. - _deafen took 64 connections of the backlog at most, and hang_up none: the rest was reset.

Ruled out: TCP_NODELAY (set on both sides, by a probe), a connect that is cancelled as it completes (the loop closes it), a backend's end before a pooled connection is used (polled already).

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -37,8 +37,11 @@
 class AttemptSink(Protocol):
     """Who is told of attempts."""
 
-    def wanted(self, attempt: Attempt) -> bool:
-        """Whether its request still waits for an answer."""
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Whether an attempt that had to wait for its connection may still be sent."""
+
+    def request_head(self, attempt: Attempt) -> bytes:
+        """The head of its request; asked for when it is written, for it tells what time is left."""
 
     def answer_begun(self, attempt: Attempt, response: Response) -> bool:
         """A long answer has begun; whether it is to be passed on, by `answer_piece`, while it comes."""
@@ -54,8 +57,8 @@
     """One sending of one request to one backend."""
 
     __slots__ = (
-        "body", "chunked", "connection", "ended", "head", "number", "owner", "place", "repeatable", "sent", "server",
-        "stream", "task",
+        "body", "chunked", "connection", "ended", "expires", "head", "number", "owner", "place", "repeatable", "sent",
+        "server", "stream", "task",
     )
 
     def __init__(self, owner: object, number: int, server: ServerId, sent: float, repeatable: bool) -> None:
@@ -64,7 +67,8 @@
         self.server = server
         self.sent = sent
         self.repeatable = repeatable  # harmless to repeat, so that a reset costs little
-        self.head = b""
+        self.expires = float("inf")  # when it is given up, before its request is
+        self.head = b""  # once it is written
         self.body: bytearray | bytes = b""
         self.stream: BodyStream | None = None  # the body, where it is passed on while it comes...
         self.chunked = False  # ...and whether in chunks
@@ -240,6 +244,7 @@
         """Write an attempt's request."""
         assert self.transport is not None
         self.carry(attempt)
+        attempt.head = self._pool.sink.request_head(attempt)
         if self._pool.goes_out is not None:
             self._pool.goes_out(attempt)
         data = attempt.head + attempt.body
@@ -557,11 +562,10 @@
         if connection.transport is None:
             self.end(attempt, Outcome.UNREACHABLE, None, "lost as soon as it was made")
             return
-        if not self.sink.wanted(attempt):
-            # Guards against sending for a request that was answered while the connection came up, where the
-            # deployment lets no attempt be cancelled: this one has not begun, and would be work for nobody.
+        if not self.sink.may_begin(attempt):
+            # Guards against what has changed while the connection came up: see `Balancer.permits`.
             self.park(connection)
-            self.end(attempt, Outcome.VOID, None, "its request was answered before it was sent")
+            self.end(attempt, Outcome.VOID, None, "no longer wanted when its connection was up")
             return
         self._busy[connection] = None
         connection.start(attempt)
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -101,6 +101,8 @@
         self.name = 0
         self.raw = b""  # the request that came last, if it came in one piece
         self.up: Callable[[CallerConnection], None] | None = None  # to be done when it is up, before it is read
+        self._peer_ended: Callable[[], bool] | None = None  # made when first asked
+        self._pending: Callable[[], bool] | None = None  # likewise
 
     # ---- the transport's calls -----------------------------------------------------------
 
@@ -289,7 +291,7 @@
         assert transport is not None
         self.since = self._callers.loop.time()
         self._callers.now_ending(self)
-        if transport.can_write_eof():
+        if transport.can_write_eof() and not transport.is_closing():
             transport.write_eof()
 
     # ---- answering -----------------------------------------------------------------------
@@ -334,7 +336,7 @@
         if self._callers.hand is not None:
             self._callers.hand.leaves(self)
         if self._transport is not None:
-            self._transport.abort()
+            self._callers.network.abort(self._transport)
 
     def answer(self, status: int, headers: Headers, body: bytes | bytearray, noted: bool = False) -> None:
         """Write the answer to the request that is handed on; `noted` if that is covered."""
@@ -395,7 +397,7 @@
         elif close:
             self._closing = True
             if self._transport is not None:
-                self._transport.close()
+                self._linger()
         elif self.idle:
             self._callers.now_idle(self)
 
@@ -421,8 +423,7 @@
         if rest:
             self._write(rest)
         if close:
-            self._closing = True
-            self._transport.close()
+            self._linger()
         else:
             self.rest()
 
@@ -434,6 +435,21 @@
 
     # ---- ends ----------------------------------------------------------------------------
 
+    def has_left(self) -> bool:
+        """Whether the caller has ended the connection, though the event loop may not have told so yet."""
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False  # told already, or ended from here
+        if self._peer_ended is None:
+            self._peer_ended = self._callers.network.peer_ended(transport)
+        return self._peer_ended()
+
+    def leave(self) -> None:
+        """The caller has left: drop all of it."""
+        self._leave()
+        if self._transport is not None:
+            self._transport.abort()
+
     def _leave(self) -> None:
         """Nothing more is owed to this caller."""
         if self._callers.hand is not None:
@@ -449,6 +465,17 @@
             self._whole = None
         self._finish_request()
 
+    def close_if_silent(self) -> bool:
+        """Close an idle connection, unless something has come that was not read yet: it may be a whole request."""
+        transport = self._transport
+        if transport is not None:
+            if self._pending is None:
+                self._pending = self._callers.network.pending(transport)
+            if self._pending():
+                return False
+        self.close()
+        return True
+
     def close(self) -> None:
         """Close a connection that owes no answer."""
         if self._callers.hand is not None:
@@ -482,7 +509,7 @@
                 transport.abort()
         elif self.idle:
             if age > (idle_for if self.carried else REQUEST_TIME):
-                self.close()
+                self.close_if_silent()
         elif self.mid_request and self._late(now):
             self.turn_away(Malformed(408, "the request did not come in time"))
 
@@ -515,7 +542,7 @@
         memory: BodyMemory,
     ) -> None:
         self.loop = loop
-        self._network = network
+        self.network = network
         self.handler = handler
         self.memory = memory
         self.posture = Posture()
@@ -547,33 +574,44 @@
         return self._listener.port
 
     def _accept(self) -> None:
-        # Not the event loop's own listener: at EMFILE that accepts and closes, which loses requests.
         for _ in range(ACCEPTS):
-            if self._listener is None:
-                return
-            if not self._descriptors.take_caller():
-                self._pause_accepting()
-                return
-            try:
-                connection = self._listener.accept()
-            except (BlockingIOError, InterruptedError, ConnectionAbortedError):
-                self._descriptors.give_caller()
+            if not self._accept_one():
                 return
-            except OSError as fault:
-                # Guards against spinning on a listener that stays readable: EMFILE, ENFILE, ENOMEM.
-                log.warning("accept failed: %s", fault)
-                self._descriptors.give_caller()
-                self._pause_accepting()
-                self.loop.call_later(0.05, self._resume_accepting)
-                return
-            task = self.loop.create_task(self._adopt(connection))
-            self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+
+    def _accept_all(self) -> None:
+        """Take what waits in the backlog: where nobody else holds the listener, its close resets that."""
+        while self._accept_one():
+            pass
+
+    def _accept_one(self) -> bool:
+        """Take one connection; False if none waits or none can be taken."""
+        # Not the event loop's own listener: at EMFILE that accepts and closes, which loses requests.
+        if self._listener is None:
+            return False
+        if not self._descriptors.take_caller():
+            self._pause_accepting()
+            return False
+        try:
+            connection = self._listener.accept()
+        except (BlockingIOError, InterruptedError, ConnectionAbortedError) as none:
+            self._descriptors.give_caller()
+            return not isinstance(none, BlockingIOError)  # the next in line may be well
+        except OSError as fault:
+            # Guards against spinning on a listener that stays readable: EMFILE, ENFILE, ENOMEM.
+            log.warning("accept failed: %s", fault)
+            self._descriptors.give_caller()
+            self._pause_accepting()
+            self.loop.call_later(0.05, self._resume_accepting)
+            return False
+        task = self.loop.create_task(self._adopt(connection))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return True
 
     async def _adopt(self, connection: Any) -> None:
         protocol = CallerConnection(self)
         try:
-            await self._network.attach(connection, lambda: protocol)
+            await self.network.attach(connection, lambda: protocol)
         except OSError as fault:
             log.info("a new connection failed: %s", fault)
             if protocol not in self._connections:
@@ -615,7 +653,7 @@
         protocol = CallerConnection(self)
         protocol.read, protocol.wrote, protocol.slot, protocol.up = read, wrote, slot, up
         try:
-            await self._network.attach(connection, lambda: protocol)
+            await self.network.attach(connection, lambda: protocol)
         except OSError as fault:
             log.info("a connection could not be taken over: %s", fault)
             if protocol not in self._connections:
@@ -645,9 +683,9 @@
 
     def now_idle(self, connection: CallerConnection) -> None:
         """Its request is answered."""
-        if not self.posture.keeps_idle and connection.carried:
-            connection.close()
-        elif connection.carried:
+        if connection.carried and not self.posture.keeps_idle and connection.close_if_silent():
+            return
+        if connection.carried:
             self._fresh.pop(connection, None)
             self._idle[connection] = None
             if self.hand is not None and connection.slot == -1:
@@ -673,9 +711,8 @@
         if evicted or len(self._fresh) + len(self._tasks) > self._descriptors.caller_limit // 4:
             return evicted > 0  # the crowd itself will soon make room
         for connection in self._idle:
-            if connection.idle:
-                del self._idle[connection]
-                connection.close()
+            if connection.idle and connection.close_if_silent():
+                self._idle.pop(connection, None)
                 return True
         return False
 
@@ -705,16 +742,17 @@
         if not posture.keeps_idle:
             for connection in list(self._idle):
                 if connection.idle:
-                    connection.close()
+                    connection.close_if_silent()
         if not posture.keeps_partial:
             for connection in list(self._connections):
-                if connection.idle or connection.partial:
+                if connection.partial:
                     connection.close()
+                elif connection.idle:
+                    connection.close_if_silent()
 
     def _deafen(self) -> None:
-        # What waits in the backlog is taken, for where nobody else holds the listener its close resets them.
         if self._listener is not None:
-            self._accept()
+            self._accept_all()
             if self._accepting:
                 self._listener.unwatch()
             self._accepting = False
@@ -723,6 +761,7 @@
     def hang_up(self) -> None:
         """Close the listener, for good."""
         if self._listener is not None:
+            self._accept_all()  # what has come since it was last looked at
             self._listener.close()
             self._listener = None
 
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -733,29 +733,52 @@
         exchange.attempts.append(attempt)
         exchange.open += 1
         request = exchange.request
-        left = exchange.deadline - now
         stream = request.stream
-        if stream is not None and not stream.done:
-            left = exchange.budget
-        if action.timeout > 0.0 and action.timeout < left:
-            left = action.timeout
-            self.loop.call_later(left, self._attempt_timeout, attempt)
-        headers = [*exchange.headers, (b"x-budget", format_budget(left))]
-        body: bytes | bytearray = request.body
+        if 0.0 < action.timeout < exchange.deadline - now:
+            attempt.expires = now + action.timeout
+            self.loop.call_later(action.timeout, self._attempt_timeout, attempt)
+        attempt.body = request.body
         if stream is not None and stream.done and not stream.spent:
-            body, stream = stream.whole(), None
-        if stream is not None and request.length is None:
-            headers.append((b"transfer-encoding", b"chunked"))
-        elif stream is not None and request.length is not None:
-            headers.append((b"content-length", b"%d" % request.length))
-        elif body or request.method == b"POST":
-            headers.append((b"content-length", b"%d" % len(body)))
-        attempt.head = request_head(request.method, request.target, headers)
-        attempt.body = body
+            attempt.body, stream = stream.whole(), None
         attempt.stream = stream
         attempt.chunked = stream is not None and request.length is None
+        if self._caller_left_unheard(exchange):
+            if not attempt.ended:  # where nothing may be cancelled
+                self.loop.call_soon(self.backends.end, attempt, Outcome.VOID, None, "its caller has left")
+            return
         self.backends.send(attempt)
 
+    def request_head(self, attempt: Attempt) -> bytes:
+        """The head of an attempt's request, as of now."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        request, stream = exchange.request, attempt.stream
+        if stream is not None and not stream.done:
+            left = exchange.budget  # its time counts from its last byte
+        else:
+            left = min(exchange.deadline, attempt.expires) - self.clock.now()
+        headers = [*exchange.headers, (b"x-budget", format_budget(max(0.0, left)))]
+        if attempt.chunked:
+            headers.append((b"transfer-encoding", b"chunked"))
+        elif stream is not None and request.length is not None:
+            headers.append((b"content-length", b"%d" % request.length))
+        elif attempt.body or request.method == b"POST":
+            headers.append((b"content-length", b"%d" % len(attempt.body)))
+        return request_head(request.method, request.target, headers)
+
+    def _caller_left_unheard(self, exchange: Exchange) -> bool:
+        """Whether its caller has left and the event loop has not told so yet; it is dealt with if so.
+
+        Guards against sending for nobody: what came in while the loop was busy is read in order, and the end of a
+        connection may stand behind many requests.
+        """
+        if exchange.answered or not exchange.caller.has_left():
+            return False
+        exchange.caller.leave()
+        if not exchange.answered:  # while it is being taken its connection does not know it yet
+            self.caller_left(exchange)
+        return True
+
     def _stop(self, attempt: Attempt, how: Outcome) -> None:
         """Give an attempt up; the module is told later, as of any end."""
         if not attempt.ended:
@@ -768,11 +791,13 @@
             self.backends.drop_idle(attempt.server)
             self.attempt_ended(attempt, Outcome.TIMEOUT, None, f"no answer within the attempt's time: {how_far}")
 
-    def wanted(self, attempt: Attempt) -> bool:
-        """Whether its request still waits for an answer."""
+    def may_begin(self, attempt: Attempt) -> bool:
+        """Whether an attempt that had to wait for its connection may still be sent."""
         exchange = attempt.owner
         assert isinstance(exchange, Exchange)
-        return not exchange.answered and attempt.server not in self.balancer.bans
+        if exchange.answered or self._caller_left_unheard(exchange):
+            return False
+        return self.balancer.permits(self.clock.now(), exchange.rid, attempt.number)
 
     def answer_begun(self, attempt: Attempt, response: Response) -> bool:
         """A long answer has begun: it is this request's, from here on whatever comes of it."""
--- a/cometusher/seam.py
+++ b/cometusher/seam.py
@@ -78,6 +78,12 @@
     def pending(self, transport: asyncio.Transport) -> Callable[[], bool]:
         """Tells, whenever asked, whether a connection has something to read, or its end, that was not read yet."""
 
+    def peer_ended(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """Tells, whenever asked, whether the far side has ended a connection, also behind bytes not read yet."""
+
+    def abort(self, transport: asyncio.Transport) -> None:
+        """Close at once, so that the far side sees a reset."""
+
     def share(self, folder: str) -> Handover:
         """What processes of one proxy share; raises OSError."""
 
@@ -153,10 +159,17 @@
         await self._loop.connect_accepted_socket(protocol, connection)
 
     def pending(self, transport: asyncio.Transport) -> Callable[[], bool]:
-        """One poll object a connection: it costs a system call to ask, and nothing to keep."""
-        poller = select.poll()
-        poller.register(transport.get_extra_info("socket").fileno(), select.POLLIN)
-        return lambda: bool(poller.poll(0))
+        """Tells by a poll object of its own: it costs a system call to ask."""
+        return _poller(transport, select.POLLIN)
+
+    def peer_ended(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """Tells by a poll object of its own; an error or a hang-up is told whatever is polled for."""
+        return _poller(transport, select.POLLRDHUP)
+
+    def abort(self, transport: asyncio.Transport) -> None:
+        """With SO_LINGER of 0, or a close would look like the end of an answer of unknown length."""
+        self.reset(transport.get_extra_info("socket"))
+        transport.abort()
 
     def share(self, folder: str) -> Handover:
         """What processes of one proxy share in a folder; raises OSError."""
@@ -198,6 +211,12 @@
         connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
 
 
+def _poller(transport: asyncio.Transport, events: int) -> Callable[[], bool]:
+    poller = select.poll()
+    poller.register(transport.get_extra_info("socket").fileno(), events)
+    return lambda: bool(poller.poll(0))
+
+
 def inherited_listener(descriptor: int, address: Address) -> socket.socket:
     """A listening socket that this process was started with; raises OSError if it is not that of the address."""
     try:
--- a/cometusher/virtual/network.py
+++ b/cometusher/virtual/network.py
@@ -264,6 +264,12 @@
         """End at once; what is left is dropped."""
         self._end(None)
 
+    def reset(self) -> None:
+        """End at once, in a way that the far side can't take for an end in order."""
+        if not self._gone:
+            self._send_reset()
+            self._end(None)
+
     # ---- within --------------------------------------------------------------------------
 
     def _soon(self, callback: Callable[..., Any], *args: Any) -> None:
@@ -439,6 +445,11 @@
         """Whether something waits that was not told yet."""
         return bool(self._inbox) or (self._eof_came and not self._eof_told) or self._reset
 
+    @property
+    def peer_ended(self) -> bool:
+        """Whether the far side has ended it."""
+        return self._eof_came or self._reset
+
     def _read_soon(self) -> None:
         if self._protocol is None or self._due or self._gone:
             return
@@ -886,6 +897,16 @@
         assert isinstance(transport, VirtualTransport)
         return lambda: transport.pending
 
+    def peer_ended(self, transport: asyncio.Transport) -> Callable[[], bool]:
+        """Tells whether the far side has ended a connection."""
+        assert isinstance(transport, VirtualTransport)
+        return lambda: transport.peer_ended
+
+    def abort(self, transport: asyncio.Transport) -> None:
+        """Close at once, so that the far side sees a reset."""
+        assert isinstance(transport, VirtualTransport)
+        transport.reset()
+
     def keep(self, returning: Returning) -> tuple[dict[str, Record], Kept]:
         """What is kept of an instance, and where to keep more."""
         return self._disk.read(), DiskKeeper(self._disk, returning.owner, self, MACHINE.get())
--- a/tests/loopback/test_operations.py
+++ b/tests/loopback/test_operations.py
@@ -91,7 +91,7 @@
 
 def test_an_attempt_that_still_connects_when_a_ban_comes_is_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
     """The ban comes just as the connection is up."""
-    honest = Proxy.wanted
+    honest = Proxy.may_begin
 
     def banned_meanwhile(self: Proxy, attempt: Attempt) -> bool:
         self.balancer.ban(self.clock.now(), attempt.server)
@@ -99,7 +99,7 @@
 
     async def test() -> None:
         async with rig(echo_name, managed=True) as r:
-            monkeypatch.setattr(Proxy, "wanted", banned_meanwhile)
+            monkeypatch.setattr(Proxy, "may_begin", banned_meanwhile)
             assert (await r.call())[0] == 503 and not r.seen
 
     run(test)
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -1043,6 +1043,24 @@
         among = self._among(now, request)
         return self._send(now, request, among, first, out) or (not first and self._resend(now, request, among, out))
 
+    def permits(self, now: float, rid: RequestId, number: int) -> bool:
+        """Whether an attempt that had to wait for its connection may still begin.
+
+        Guards against what has changed meanwhile: its request is answered, its server drains or is gone or banned,
+        or so much time has passed that a repeat would no longer be recognized as one.
+        """
+        request = self.requests.get(rid)
+        if request is None or request.done or now >= request.deadline:
+            return False
+        attempt = request.attempts[number]
+        if not self._takes(attempt.server):
+            return False
+        kind = self.settings.classes[request.kind]
+        before = [a for a in request.attempts if a is not attempt and a.maybe_ran]
+        if not before or kind.repeat is Repeat.SAFE:
+            return True
+        return kind.repeat is Repeat.KEYED and now - before[0].sent < WINDOW_MARGIN * kind.window
+
     def _answer(self, now: float, request: Request, out: list[Action]) -> None:
         """The final answer: refused where that promise holds, else failed."""
         kind = self.settings.classes[request.kind]
