--- a/weldroute/slow_start.py
+++ b/weldroute/slow_start.py
@@ -4,7 +4,8 @@
 takes part in it: every answer was sent to one balancer. If each sends a multiple of the answers that it got, all
 together send that multiple of what the server answers, which is no more than it can do.
 
-- Warm servers answer so many calls a second of this balancer; a cold one gets its part of that (`WarmLoad`).
+- Warm servers answer so many calls a second of this balancer; a cold one gets its part of that (`WarmLoad`), and
+  somewhat more, for warm ones may have room and it may be warmer than is certain.
 - Where that is little, because warm servers have little to do or there are none, it may grow: to a multiple of what
   the cold server itself lately answered in time (`allowed_load`).
 - Demand is the upper bound of both. By itself it says nothing of what servers can do: when some go and callers come
@@ -16,6 +17,7 @@
 from weldroute.model import Rules
 
 BURST = 1.25  # of its load, what a cold server may get in a short span
+WARM_MULTIPLE = 0.625  # of the multiple that pushes it over: what it may get of its part of a warm one's load
 GROWTH = 2.0  # of the calls that it answered, what it may get next, at most...
 GROWTH_PART = 0.8  # ...and at most this part of the multiple that pushes it over: with BURST, just that multiple
 OWN_MEMORY = 1.0  # seconds over which the answers of one cold server are smoothed
@@ -81,7 +83,7 @@
     if warm is None:
         return demand
     growth = min(GROWTH, GROWTH_PART * rules.fall_multiple)
-    return min(demand, max(warm, growth * own / part))
+    return min(demand, max(WARM_MULTIPLE * rules.fall_multiple * warm, growth * own / part))
 
 
 def refill(credit: float, elapsed: float, load: float, rules: Rules) -> float:
