--- a/cometusher/service.py
+++ b/cometusher/service.py
@@ -18,6 +18,20 @@
 from cometusher.seam import inherited_listener
 
 
+class EarlyReload:
+    """Notes a SIGHUP that comes before the event loop listens for it.
+
+    Guards against ending on it, and against missing it: the configuration that was read before may be the old one.
+    """
+
+    def __init__(self) -> None:
+        self.seen = False
+        signal.signal(signal.SIGHUP, self._note)
+
+    def _note(self, number: int, frame: object) -> None:
+        self.seen = True
+
+
 class Parent(Protocol):
     """Who started this proxy and wants to hear of it; a proxy on its own has none."""
 
@@ -46,7 +60,8 @@
 
 
 async def serve(
-    settings: config.Config, listener: socket.socket | None = None, parent: Parent | None = None
+    settings: config.Config, listener: socket.socket | None = None, parent: Parent | None = None,
+    early: EarlyReload | None = None,
 ) -> None:
     """Run until SIGTERM or SIGINT, then end in order; SIGHUP rereads the configuration.
 
@@ -59,6 +74,8 @@
         loop.add_signal_handler(number, stop.set)
     proxy = Proxy(settings)
     loop.add_signal_handler(signal.SIGHUP, read_again, proxy, parent)
+    if early is not None and early.seen:
+        read_again(proxy, parent)
     if listener is None:
         proxy.start()
     else:
@@ -79,8 +96,7 @@
 
 def main() -> int:
     """The platform's proxy; returns the exit code."""
-    # Guards against ending on a reload that comes before there is anything to reload.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    early = EarlyReload()
     logs.to_stderr()
     try:
         settings = config.load(os.environ)
@@ -91,7 +107,7 @@
         listener = None
         if settings.accept_fd is not None:
             listener = inherited_listener(settings.accept_fd, settings.listen)
-        uvloop.run(serve(settings, listener))
+        uvloop.run(serve(settings, listener, early=early))
     except OSError as fault:
         print(f"cometusher: listen: {fault}".replace("\n", " "), file=sys.stderr)
         return 1
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -12,6 +12,8 @@
 from cometusher import backends, callers
 from weldroute import operations
 
+pytest_plugins = ["known_red"]
+
 
 def _virtual(request: pytest.FixtureRequest) -> bool:
     """Where time is virtual, or there is none, every limit is the real one."""
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -189,3 +189,47 @@
         assert errors.count(b"\n") == 1 and named in errors
 
     run(test)
+
+
+#: A proxy whose configuration is replaced, with SIGHUP, between its reading and the event loop's start.
+RELOADED_EARLY = """
+import os, signal, sys
+from cometusher import config, service
+load = config.load
+def replaced_when_read(environ, again=False):
+    settings = load(environ, again)
+    if not again:
+        os.replace(environ["LB_CONFIG"] + ".new", environ["LB_CONFIG"])
+        os.kill(os.getpid(), signal.SIGHUP)
+    return settings
+config.load = replaced_when_read
+sys.exit(service.main())
+"""
+
+
+def test_a_reload_that_comes_before_the_event_loop_is_not_missed(tmp_path: Path) -> None:
+    async def test() -> None:
+        before, after = Discovery(), Discovery()
+        await before.start()
+        await after.start()
+        path = tmp_path / "config.json"
+        told = {
+            "name": "t", "listen": f"127.0.0.1:{free_ports(1)[0]}", "seed": "ab",
+            "limits": {"memory_mb": 192, "sockets": 128}, "known": {}, "settings": SETTINGS,
+        }
+        path.write_bytes(orjson.dumps(told | {"discovery": f"127.0.0.1:{before.port}"}))
+        (tmp_path / "config.json.new").write_bytes(orjson.dumps(told | {"discovery": f"127.0.0.1:{after.port}"}))
+        base = {k: v for k, v in os.environ.items() if not k.startswith("LB_")}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", RELOADED_EARLY, cwd=ROOT, env=base | {"LB_CONFIG": str(path)},
+            stderr=asyncio.subprocess.PIPE,
+        )
+        try:
+            await after.watch()
+        finally:
+            process.kill()
+            await process.communicate()
+            await before.stop()
+            await after.stop()
+
+    run(test)
--- /dev/null
+++ b/tests/unit/test_known_red.py
@@ -0,0 +1,79 @@
+"""The list of tests that fail for a known fault: what it lets pass, and what it does not."""
+
+from __future__ import annotations
+
+import os
+import subprocess
+import sys
+from pathlib import Path
+
+import known_red
+import pytest
+
+TESTS = Path(known_red.__file__).parent
+MODULE = """
+import pytest
+def test_red(): assert False
+def test_green(): pass
+@pytest.mark.parametrize("n", [1, 2])
+def test_both(n): assert n > 2
+"""
+
+
+def play(folder: Path, lines: str) -> tuple[int, str]:
+    """Run a folder's tests with such a list; the exit code and what was printed."""
+    (folder / "test_it.py").write_text(MODULE)
+    (folder / "pytest.ini").write_text("[pytest]\n")
+    (folder / known_red.FILE).write_text(lines)
+    command = [sys.executable, "-m", "pytest", "-p", "known_red", "-p", "no:cacheprovider", "-q"]
+    done = subprocess.run(
+        command, cwd=folder, env=os.environ | {"PYTHONPATH": str(TESTS)}, capture_output=True, text=True, check=False
+    )
+    return done.returncode, done.stdout
+
+
+BOTH = "test_it.py::test_both | a fault | issue 2\n"
+
+
+def test_just_the_listed_tests_may_fail(tmp_path: Path) -> None:
+    code, text = play(tmp_path, f"test_it.py::test_red | a fault | issue 1\n\n{BOTH}")
+    assert code == 0 and "1 passed, 3 xfailed" in text
+
+
+def test_one_that_is_not_listed_fails_the_run(tmp_path: Path) -> None:
+    code, text = play(tmp_path, BOTH)
+    assert code == 1 and "1 failed, 1 passed, 2 xfailed" in text
+
+
+def test_a_listed_one_that_passes_fails_the_run(tmp_path: Path) -> None:
+    code, text = play(tmp_path, f"test_it.py::test_red | a | 1\ntest_it.py::test_green | b | 2\n{BOTH}")
+    assert code == 1 and "XPASS(strict)" in text
+
+
+def test_a_name_that_begins_alike_is_not_covered() -> None:
+    assert not known_red.KnownRed("t.py::test_a", "x", "1").covers("t.py::test_ab")
+
+
+@pytest.mark.parametrize(("lines", "why"), [
+    ("a | b\n", "KNOWN-RED.txt:1: not of the form"), ("a | b | c\na | | c\n", "KNOWN-RED.txt:2: not of the form"),
+    ("a | b | c\n" * 4, "4 lines, 3 at most"),
+])
+def test_a_list_that_makes_no_sense_is_refused(tmp_path: Path, lines: str, why: str) -> None:
+    (tmp_path / known_red.FILE).write_text(lines)
+    with pytest.raises(known_red.BadList, match=why):
+        known_red.read_list(tmp_path / known_red.FILE)
+    assert known_red.main(tmp_path) == 1
+
+
+def test_each_line_is_printed_and_names_a_test(tmp_path: Path, capsys: pytest.CaptureFixture[str]) -> None:
+    (tmp_path / "test_it.py").write_text(MODULE)
+    (tmp_path / known_red.FILE).write_text("test_it.py::test_red | a fault | issue 1\n")
+    assert known_red.main(tmp_path) == 0
+    assert "known red: test_it.py::test_red: a fault (issue 1)" in capsys.readouterr().out
+    (tmp_path / known_red.FILE).write_text("test_it.py::test_gone | a fault | issue 1\n")
+    assert known_red.main(tmp_path) == 1
+    assert "no such test: test_it.py::test_gone" in capsys.readouterr().err
+
+
+def test_without_a_list_nothing_is_expected(tmp_path: Path) -> None:
+    assert known_red.read_list(tmp_path / known_red.FILE) == [] and known_red.main(tmp_path) == 0
