Warm servers are looked for in turn where chance names only cold ones

Seen: one 503 in test_a_ban_that_is_given_to_one_machine (a server is cold after its ban, the others are warm), in one of four runs of the suite. Cause: Balancer._draw gives up after four random draws; where all of them are cold servers that are spared, the request is refused although warm ones are there. 2 x 200 drawn worlds with one and two warm servers of eight: refused in both without the change.

Change: after such draws the next servers of the pool are looked at in turn, eight at most.

--- a/tests/unit/test_slow_start.py
+++ b/tests/unit/test_slow_start.py
@@ -218,3 +218,16 @@
             world.restart(index)
         world.run(12.0)
         assert max(world.machines[server].excess for server in (11, 12, 13, 14)) <= 1.0
+
+
+@pytest.mark.parametrize("warm", [1, 2])
+def test_no_request_is_refused_while_a_warm_server_is_there(warm: int) -> None:
+    """Chance may name nothing but cold ones."""
+    settings = Settings(classes=(CLASS,), rules=RULES)
+    for seed in range(200):
+        balancer = Balancer(settings, seed)
+        rows = [ServerRow(server, started=0.0 if server <= warm else 99.9) for server in range(1, 9)]
+        balancer.members(100.0, ListKind.WHOLE, rows)
+        for i in range(5):
+            (action,) = balancer.request(100.0 + i * 0.01, f"r{i}", 0, deadline=102.0)
+            assert isinstance(action, Send)
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -48,6 +48,7 @@
 LATENCY_CAP = 0.3  # ...where it has this value
 
 DRAWS = 8  # random draws for two candidates, at most
+IN_TURN = 8  # servers that are looked at one after the other where no draw has found a candidate
 REDRAWS = 2  # further candidates from other zones, for those that their breakers refuse
 RETRY_SHARE = 0.2  # further attempts for each request, on average
 RETRY_BURST = 10.0  # further attempts saved up, at most
@@ -972,11 +973,18 @@
         if now >= circle.warm_from:
             circle.count_warm(now, rules)
         count = len(circle.used)
-        for _ in range(DRAWS // 2 if count else 0):
-            server = circle.used[int(rng.random() * count)]
+        index = 0
+        for draw in range(DRAWS // 2 + IN_TURN if count else 0):
+            # Guards against refusing where few are warm and chance names the cold ones only: then in turn.
+            chance = draw < DRAWS // 2
+            if not chance and not self.spared:
+                return
+            index = int(rng.random() * count) if chance else (index + 1) % count
+            server = circle.used[index]
             if server in tried:
                 continue
-            if server.cold_until(rules) > now and (not first or self._spares_cold(now, server, circle)):
+            cold = server.cold_until(rules) > now
+            if cold and not (chance and first and not self._spares_cold(now, server, circle)):
                 self.spared = True
                 continue
             link = self.links.get(server.row.zone)
