--- a/tests/loopback/test_crossings.py
+++ b/tests/loopback/test_crossings.py
@@ -151,20 +151,25 @@
     run(test)
 
 
+async def repeat_that_connects_for(r: Rig, seconds: float) -> int:
+    """The status of a keyed request whose first attempt may have run, and whose repeat's connection takes so long."""
+    dials = HeldDials(r)
+    call = asyncio.ensure_future(r.call(kind="submit", budget="8000m"))
+    await dials.dialled()
+    dials.let_up()
+    await until(lambda: len(r.seen) == 1)
+    await dials.dialled()  # the repeat's
+    pass_time(r, seconds)
+    dials.let_up(holds=False)
+    return (await call)[0]
+
+
 def test_a_repeat_whose_connection_outlasts_the_window_is_not_sent() -> None:
     """The first may have run; by the time the second could be written nobody would know it for the same."""
 
     async def test() -> None:
         async with rig(end, end, settings=SLOW_DIAL) as r:
-            dials = HeldDials(r)
-            call = asyncio.ensure_future(r.call(kind="submit", budget="8000m"))
-            await dials.dialled()
-            dials.let_up()
-            await until(lambda: len(r.seen) == 1)
-            await dials.dialled()  # the repeat's
-            pass_time(r, 4.0)
-            dials.let_up()
-            assert (await call)[0] == 502
+            assert await repeat_that_connects_for(r, 4.0) == 502
             assert len(r.seen) == 1
 
     run(test)
@@ -173,15 +178,7 @@
 def test_a_repeat_within_the_window_is_sent() -> None:
     async def test() -> None:
         async with rig(end, end, settings=SLOW_DIAL) as r:
-            dials = HeldDials(r)
-            call = asyncio.ensure_future(r.call(kind="submit", budget="8000m"))
-            await dials.dialled()
-            dials.let_up()
-            await until(lambda: len(r.seen) == 1)
-            await dials.dialled()
-            pass_time(r, 3.0)
-            dials.let_up(holds=False)
-            assert (await call)[0] == 502
+            assert await repeat_that_connects_for(r, 3.0) == 502
             assert len(r.seen) > 1
 
     run(test)
