Log lines name the request and the connection of each close, retry and refusal

The incident's logs could not tell a late second answer from three other causes: the line on unsolicited bytes named neither backend nor connection nor age, and a retry left no line at all. Now each end of a connection on either side is one line with its cause, each further attempt one line with what ended the attempt before, and each failed attempt tells how long after the request and on which connection.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -10,6 +10,7 @@
 import logging
 from collections import deque
 from collections.abc import Callable
+from enum import Enum
 from typing import Any, Protocol, cast
 
 from cometusher.budget import DescriptorBudget
@@ -34,6 +35,22 @@
 LATE_SWEEP = 0.2  # seconds since the last sweep, beyond which silence may only mean that nothing was read
 
 
+class CloseReason(Enum):
+    """Why a connection to a backend ended."""
+
+    BY_BACKEND = "closed by the backend"
+    UNSOLICITED_INPUT = "unsolicited input"
+    SURPLUS_INPUT = "more than the answer"
+    NOT_KEPT = "not kept open after its answer"
+    ANSWER_BROKEN = "its answer broke"
+    ATTEMPT_CANCELLED = "its attempt was cancelled"
+    UNREAD_INPUT = "closed or written to by the backend while idle"
+    IDLE_TIMEOUT = "idle for too long"
+    BACKEND_CHANGED = "its backend drained, moved, restarted, went or was banned"
+    BACKEND_SILENT = "its backend let an attempt time out"
+    DESCRIPTOR_NEEDED = "its descriptor was needed"
+
+
 class AttemptSink(Protocol):
     """Receives the events of attempts."""
 
@@ -52,12 +69,16 @@
     def on_attempt_ended(self, attempt: Attempt, outcome: Outcome, response: Response | None, reason: str) -> None:
         """The single end of an attempt; `response` is set for OK."""
 
+    def on_backend_connection_closed(self, reason: CloseReason) -> None:
+        """A connection that was up has ended."""
+
 
 class Attempt:
     """One attempt to send a request to a backend."""
 
     __slots__ = (
         "body",
+        "call_id",
         "chunked",
         "connect_task",
         "connection",
@@ -73,8 +94,11 @@
         "stream",
     )
 
-    def __init__(self, owner: object, number: int, server: ServerId, sent_at: float, repeatable: bool) -> None:
+    def __init__(
+        self, owner: object, number: int, server: ServerId, sent_at: float, repeatable: bool, call_id: bytes = b""
+    ) -> None:
         self.owner = owner
+        self.call_id = call_id  # of its request, for the log
         self.number = number
         self.server = server
         self.sent_at = sent_at
@@ -93,9 +117,10 @@
 class Backend:
     """One backend: its address, start time and idle connections, the most recently used last."""
 
-    __slots__ = ("address", "idle", "started_at", "usable")
+    __slots__ = ("address", "idle", "server", "started_at", "usable")
 
-    def __init__(self, address: Address, started_at: float, usable: bool) -> None:
+    def __init__(self, server: ServerId, address: Address, started_at: float, usable: bool) -> None:
+        self.server = server
         self.address = address
         self.started_at = started_at
         self.usable = usable
@@ -112,7 +137,10 @@
         self.backend_started_at = backend.started_at
         self.transport: asyncio.Transport | None = None
         self.connected = False
+        self.number = pool.next_connection_number()  # for the log
+        self.close_reason = CloseReason.BY_BACKEND
         self.use_count = 0
+        self.last_call_id = b""  # of the last request on it, for the log
         self.attempt: Attempt | None = None
         self.idle_since = 0.0
         self.attempt_started_at = 0.0
@@ -129,6 +157,10 @@
         self.failure_domain = (0, 0)  # zone and cell of its server, set with `connection_id`
         self._has_unread_data: Callable[[], bool] = lambda: False
 
+    def __str__(self) -> str:
+        last = f", last {loggable_id(self.last_call_id)}" if self.use_count else ""
+        return f"connection {self.number} to backend {self.backend.server:x} ({self.use_count} requests{last})"
+
     # ---- transport callbacks -----------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -145,8 +177,13 @@
     def data_received(self, data: bytes) -> None:
         self.bytes_read += len(data)
         if self.attempt is None:
-            log.info("a backend sent %d unsolicited bytes; closing", len(data))
-            self.close()
+            log.info(
+                "%d unsolicited bytes on %s, %.1f ms after its last use; closing",
+                len(data),
+                self,
+                (self._pool.loop.time() - self.idle_since) * 1000.0,
+            )
+            self.close(CloseReason.UNSOLICITED_INPUT)
             return
         self.last_read_at = self._pool.loop.time()
         try:
@@ -278,6 +315,7 @@
         self.attempt = attempt
         attempt.connection = self
         self.use_count += 1
+        self.last_call_id = attempt.call_id
         self.attempt_started_at = self.last_read_at = self._pool.loop.time()
         self._answer_started_at = 0.0
 
@@ -301,13 +339,16 @@
     def _on_answered(self, attempt: Attempt, response: Response) -> None:
         answered_early = self._request_incomplete
         self._release()
+        outcome, reason = classify(response)
+        if outcome is not Outcome.OK:
+            reason = f"{reason} {self._elapsed()}"
         if self._parser.has_surplus:
-            log.info("a backend sent more than the answer; closing")
-        if response.keep_alive and not answered_early and not response.until_eof and not self._parser.has_surplus:
+            log.info("more than the answer on %s; closing", self)
+            self.close(CloseReason.SURPLUS_INPUT)
+        elif response.keep_alive and not answered_early and not response.until_eof:
             self._pool.return_to_pool(self)
         else:
-            self.close()
-        outcome, reason = classify(response)
+            self.close(CloseReason.NOT_KEPT)
         if answered_early and outcome is Outcome.OK:
             outcome, reason = Outcome.BROKEN, "answered before the request was complete"
         self._pool.finish(attempt, outcome, response, reason)
@@ -327,7 +368,12 @@
     def _fail(self, reason: str) -> None:
         """Ends the attempt, which can get no valid answer any more, and closes the connection."""
         self._on_lost(reason)
-        self.close()
+        self.close(CloseReason.ANSWER_BROKEN)
+
+    def _elapsed(self) -> str:
+        """When and where the current event of an attempt happened, for the log."""
+        elapsed = self._pool.loop.time() - self.attempt_started_at
+        return f"{elapsed * 1000.0:.1f} ms after the request on {self}"
 
     def _on_lost(self, reason: str) -> None:
         """Handles a connection that is no longer usable: ends its attempt, which may have run."""
@@ -349,7 +395,7 @@
             # A backend runs a request only after its last byte, so this one never ran.
             self._pool.finish(attempt, Outcome.UNREACHABLE, None, f"{reason} before the request was complete")
         else:
-            self._pool.finish(attempt, Outcome.BROKEN, None, reason)
+            self._pool.finish(attempt, Outcome.BROKEN, None, f"{reason} {self._elapsed()}")
 
     def check_stalled(self, now: float) -> None:
         """Fails an attempt whose answer has begun and then stalls, or arrives too slowly.
@@ -374,13 +420,20 @@
             return f"no complete answer head on {kind} connection"
         return f"{response.received} of {response.length} bytes of an answer on {kind} connection"
 
-    def close(self) -> None:
+    def close(self, reason: CloseReason) -> None:
         """Aborts the connection; an attempt on it has been ended by the caller of this method."""
+        if self.close_reason is CloseReason.BY_BACKEND:
+            self.close_reason = reason
         self._release()
         if self.transport is not None:
             self.transport.abort()
 
 
+def loggable_id(call_id: bytes) -> str:
+    """A request's id as far as it may be written to the log: peers choose it."""
+    return repr(call_id[:32])[2:-1] or "without an id"
+
+
 def classify_head(response: Response) -> tuple[Outcome, None, str]:
     """The outcome of an answer other than 200 of which only the head is complete."""
     outcome, reason = classify(response)
@@ -421,6 +474,7 @@
         self._idle: dict[BackendConnection, None] = {}  # of all backends, longest idle first
         self._busy: dict[BackendConnection, None] = {}
         self.connections_opened = 0  # since the process started
+        self._connection_count = 0  # since the process started, with those that were taken over
         self.before_send: Callable[[Attempt], None] | None = None  # called before an attempt is written
         self._takeover_tasks: set[asyncio.Task[None]] = set()
         self._close_races: deque[tuple[float, float]] = deque(
@@ -429,6 +483,11 @@
         self._last_sweep_at = 0.0
         descriptors.evict_backend = self._evict
 
+    def next_connection_number(self) -> int:
+        """A number that no other connection of this process has."""
+        self._connection_count += 1
+        return self._connection_count
+
     # ---- backend list ------------------------------------------------------------------------
 
     def update(self, server: ServerId, address: Address, started_at: float, usable: bool) -> ServerId | None:
@@ -445,10 +504,10 @@
             return server
         backend = self._backends.get(server)
         if backend is None:
-            backend = self._backends[server] = Backend(address, started_at, usable)
+            backend = self._backends[server] = Backend(server, address, started_at, usable)
         elif address != backend.address or started_at != backend.started_at or not usable:
             # The connections may lead to a process that has ended.
-            self.drop_idle(server)
+            self.drop_idle(server, CloseReason.BACKEND_CHANGED)
             self._release_address(server, backend)
         backend.address, backend.started_at, backend.usable = address, started_at, usable
         self._owners[address] = server
@@ -463,7 +522,7 @@
 
     def forget(self, server: ServerId) -> None:
         """Removes a backend that discovery no longer lists."""
-        self.drop_idle(server)
+        self.drop_idle(server, CloseReason.BACKEND_CHANGED)
         backend = self._backends.pop(server, None)
         if backend is not None:
             backend.usable = False  # connections in use are closed after their attempt, not pooled
@@ -478,12 +537,12 @@
         backend = self._backends.get(server)
         return backend.address if backend is not None else None
 
-    def drop_idle(self, server: ServerId) -> None:
+    def drop_idle(self, server: ServerId, reason: CloseReason) -> None:
         """Closes the idle connections to one backend."""
         backend = self._backends.get(server)
         if backend is not None:
             for connection in list(backend.idle):
-                self._discard(connection)
+                self._discard(connection, reason)
 
     # ---- attempts ------------------------------------------------------------------------
 
@@ -500,8 +559,11 @@
         while backend.idle and not needs_new_connection:
             connection = backend.idle[-1]
             age = now - connection.idle_since
-            if age >= self._idle_timeout or not connection.is_reusable():
-                self._discard(connection)
+            if age >= self._idle_timeout:
+                self._discard(connection, CloseReason.IDLE_TIMEOUT)
+                continue
+            if not connection.is_reusable():
+                self._discard(connection, CloseReason.UNREAD_INPUT)
                 continue
             if not attempt.repeatable and age >= self._trusted_idle_age(now):
                 break
@@ -517,7 +579,7 @@
 
         Its descriptor is counted already.
         """
-        backend = self._backends.get(attempt.server) or Backend(("", 0), 0.0, usable=False)
+        backend = self._backends.get(attempt.server) or Backend(attempt.server, ("", 0), 0.0, usable=False)
         protocol = BackendConnection(self, backend)
         protocol.bytes_written, protocol.bytes_read = bytes_written, bytes_read
         protocol.assign(attempt)
@@ -535,7 +597,7 @@
                 self.on_closed(protocol)
             self.finish(attempt, Outcome.BROKEN, None, f"takeover of its connection failed: {error}")
         if attempt.ended:  # while the connection was attached
-            protocol.close()
+            protocol.close(CloseReason.ATTEMPT_CANCELLED)
 
     def on_immediate_reset(self, age: float) -> None:
         """Records a request that was reset right after its write, on a connection idle for `age` seconds."""
@@ -580,7 +642,7 @@
                 self._descriptors.release_backend()
         attempt.connect_task = None
         if attempt.ended:
-            connection.close()
+            connection.close(CloseReason.ATTEMPT_CANCELLED)
             return
         if connection.transport is None:
             self.finish(attempt, Outcome.UNREACHABLE, None, "connection lost right after it was made")
@@ -604,7 +666,7 @@
             attempt.connect_task.cancel()
             attempt.connect_task = None
         if attempt.connection is not None:
-            attempt.connection.close()
+            attempt.connection.close(CloseReason.ATTEMPT_CANCELLED)
         return progress
 
     def finish(self, attempt: Attempt, outcome: Outcome, response: Response | None, reason: str) -> None:
@@ -624,7 +686,7 @@
             or connection.address != backend.address
             or connection.backend_started_at != backend.started_at
         ):
-            connection.close()
+            connection.close(CloseReason.BACKEND_CHANGED)
             return
         connection.idle_since = self.loop.time()
         backend.idle.append(connection)
@@ -641,14 +703,16 @@
         self._busy.pop(connection, None)
         self.remove_from_pool(connection)
         self._descriptors.release_backend()
+        log.info("%s ended: %s", connection, connection.close_reason.value)
+        self.sink.on_backend_connection_closed(connection.close_reason)
 
-    def _discard(self, connection: BackendConnection) -> None:
+    def _discard(self, connection: BackendConnection, reason: CloseReason) -> None:
         self.remove_from_pool(connection)
-        connection.close()
+        connection.close(reason)
 
     def _evict(self) -> bool:
         for connection in self._idle:
-            self._discard(connection)
+            self._discard(connection, CloseReason.DESCRIPTOR_NEEDED)
             return True
         return False
 
@@ -660,7 +724,7 @@
             connection = next(iter(self._idle))
             if connection.idle_since > now - self._idle_timeout:
                 break
-            self._discard(connection)
+            self._discard(connection, CloseReason.IDLE_TIMEOUT)
         if was_delayed:
             return  # the process was delayed, and may have unread answers
         for connection in list(self._busy):
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 from collections.abc import Callable
+from enum import Enum
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from cometusher.budget import BodyMemoryBudget, DescriptorBudget
@@ -47,6 +48,20 @@
 BODY_LINGER_TIMEOUT = 30.0  # seconds in which the rest of an unwanted body is read and discarded
 
 
+class CallerCloseReason(Enum):
+    """Why a caller's connection ended."""
+
+    BY_CALLER = "closed by the caller"
+    REJECTED = "its input was rejected"
+    AFTER_ANSWER = "after its last answer"
+    ANSWER_ABORTED = "its answer broke off"
+    ANSWER_NOT_READ = "its answer was not read"
+    CALLER_LEFT = "its caller had left"
+    IDLE = "idle for too long, or the proxy drains"
+    INCOMPLETE = "its request was incomplete as the proxy drained"
+    EVICTED = "its descriptor was needed"
+
+
 class AcceptedRequest(Protocol):
     """An accepted request, as its connection sees it."""
 
@@ -83,6 +98,7 @@
         self._request: Request | None = None  # passed to the handler, and not yet answered
         self._accepted: AcceptedRequest | None = None
         self._closing = False
+        self.close_reason = CallerCloseReason.BY_CALLER
         self._close_after_answer = False  # the streamed answer ends the connection
         self._discarded_bytes = 0  # while lingering
         self._linger_until = 0.0
@@ -332,7 +348,7 @@
         """Resets the connection, as the streamed answer can't be completed."""
         self._streaming_answer = False
         self._finish_request()
-        self._closing = True
+        self._note_closing(CallerCloseReason.ANSWER_ABORTED)
         if self._callers.inflight is not None:
             self._callers.inflight.on_connection_leaving(self)
         if self._transport is not None:
@@ -362,6 +378,7 @@
         self._on_disconnect()
         if self._transport is None:
             return
+        self._note_closing(CallerCloseReason.REJECTED)
         if was_streaming:
             log.info("rejected input during a streamed answer: %d %s", error.status, error)
             self._transport.abort()
@@ -397,9 +414,10 @@
             # A close with unread bytes would reset the connection and destroy the answer.
             self._parser.current = None
             self._linger_until = self.state_since + BODY_LINGER_TIMEOUT
+            self._note_closing(CallerCloseReason.AFTER_ANSWER)
             self._linger()
         elif close:
-            self._closing = True
+            self._note_closing(CallerCloseReason.AFTER_ANSWER)
             if self._transport is not None:
                 self._linger()
         elif self.is_idle:
@@ -439,6 +457,12 @@
 
     # ---- closing ----------------------------------------------------------------------------
 
+    def _note_closing(self, reason: CallerCloseReason) -> None:
+        """Notes that this side ends the connection; the first reason counts."""
+        self._closing = True
+        if self.close_reason is CallerCloseReason.BY_CALLER:
+            self.close_reason = reason
+
     def has_disconnected(self) -> bool:
         """Whether the caller has ended the connection, even if the event loop has not reported it yet."""
         transport = self._transport
@@ -450,6 +474,7 @@
 
     def disconnect(self) -> None:
         """Handles a caller that has left, and aborts the connection."""
+        self._note_closing(CallerCloseReason.CALLER_LEFT)
         self._on_disconnect()
         if self._transport is not None:
             self._transport.abort()
@@ -477,15 +502,15 @@
                 self._has_unread_data = self._callers.network.unread_check(transport)
             if self._has_unread_data():
                 return False
-        self.close()
+        self.close(CallerCloseReason.IDLE)
         return True
 
-    def close(self) -> None:
+    def close(self, reason: CallerCloseReason) -> None:
         """Closes a connection on which no answer is owed."""
         if self._callers.inflight is not None:
             self._callers.inflight.on_connection_leaving(self)
         self._discard_partial_request()
-        self._closing = True
+        self._note_closing(reason)
         if self._transport is not None:
             self._transport.close()
 
@@ -504,7 +529,7 @@
             if unsent < self._unsent_bytes:
                 self.state_since = now
             elif age > (STREAM_STALL_TIMEOUT if self._streaming_answer else WRITE_STALL_TIMEOUT):
-                log.info("a caller stopped reading its answer; closing")
+                self.close_reason = CallerCloseReason.ANSWER_NOT_READ
                 transport.abort()
             self._unsent_bytes = unsent
         elif self._closing:
@@ -541,6 +566,7 @@
         )
         if now - self.state_since <= min_age:
             return False
+        self.close_reason = CallerCloseReason.EVICTED
         if self._transport is not None:
             self._transport.abort()
         return True
@@ -696,6 +722,7 @@
         if connection in self._connections:
             del self._connections[connection]
             self._descriptors.release_caller()
+            log.info("a caller's connection ended: %s", connection.close_reason.value)
         if self._draining and not self._connections:
             self.all_closed.set()
 
@@ -765,6 +792,8 @@
     def apply_listener_state(self, state: ListenerState) -> None:
         """Applies a listener state; called at every change, and periodically."""
         previous, self.listener_state = self.listener_state, state
+        if state != previous:
+            log.info("listener: %s", state)
         if previous.listens and not state.listens:
             self._stop_accepting()
         elif state.listens and not previous.listens:
@@ -776,7 +805,7 @@
         if not state.keeps_incomplete:
             for connection in list(self._connections):
                 if connection.is_partial:
-                    connection.close()
+                    connection.close(CallerCloseReason.INCOMPLETE)
                 elif connection.is_idle:
                     connection.close_if_nothing_unread()
 
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -16,7 +16,7 @@
 from random import Random
 from typing import TYPE_CHECKING, Any
 
-from cometusher.backends import Attempt, Backends
+from cometusher.backends import Attempt, Backends, CloseReason, loggable_id
 from cometusher.budget import (
     IDLE_PROCESS_MB,
     IDLE_TWO_PROCESSES_MB,
@@ -431,7 +431,7 @@
         balancer = self.balancer
         self._dispatch(None, lambda now: balancer.ban(now, server) if excluded else balancer.unban(now, server))
         # A banned backend is usually restarted meanwhile, which makes its open connections useless.
-        self.backends.drop_idle(server)
+        self.backends.drop_idle(server, CloseReason.BACKEND_CHANGED)
         if not excluded and server not in balancer.servers:
             del self.servers_by_host[host]  # discovery removed it during the ban
         return DONE
@@ -591,7 +591,7 @@
         An attempt with a connection in `connections` goes on here; one without has ended.
         """
         for number, (prior, connection) in enumerate(zip(prior_attempts, connections, strict=True)):
-            attempt = Attempt(exchange, number, prior.server, prior.sent, exchange.repeatable)
+            attempt = Attempt(exchange, number, prior.server, prior.sent, exchange.repeatable, exchange.call_id)
             attempt.journal_index = number
             attempt.ended = connection is None
             exchange.attempts.append(attempt)
@@ -743,10 +743,10 @@
             if not attempt.ended:
                 progress = self.backends.cancel(attempt)
                 # If the machine has vanished, its idle connections are dead too.
-                self.backends.drop_idle(attempt.server)
+                self.backends.drop_idle(attempt.server, CloseReason.BACKEND_SILENT)
                 self.on_attempt_ended(attempt, Outcome.TIMEOUT, None, f"no answer by the deadline: {progress}")
         if not exchange.answered:
-            log.error("request %s was not answered by its deadline", exchange.request_id)
+            log.error("request %s was not answered by its deadline", loggable_id(exchange.call_id))
             self._abandon(exchange)
 
     def _forget_if_settled(self, exchange: Exchange) -> None:
@@ -783,15 +783,21 @@
         if action.retry_after > 0.0:
             headers.append((b"retry-after", b"%.3f" % action.retry_after))
         self._increment("refused")
-        log.info("refused: %s", exchange.last_failure or "by admission control")
+        log.info(
+            "request %s refused: %s", loggable_id(exchange.call_id), exchange.last_failure or self._refusal_cause()
+        )
         self._answer(exchange, 503, headers, b"refused\n")
 
+    def _refusal_cause(self) -> str:
+        """Why a request was refused before its first attempt, for the log."""
+        return "before its first attempt" if self.balancer.ready else "no backend is in service"
+
     def _fail(self, exchange: Exchange, reason: str) -> None:
         if exchange.answered:
             return
         self._increment("failed")
         is_past_deadline = self.clock.now() >= exchange.deadline
-        log.info("failed: %s", reason)
+        log.info("request %s failed: %s", loggable_id(exchange.call_id), reason)
         self._answer(exchange, 504 if is_past_deadline else 502, [(b"content-type", b"text/plain")], b"failed\n")
 
     def _answer(self, exchange: Exchange, status: int, headers: Headers, body: bytes) -> None:
@@ -806,7 +812,15 @@
     def _send(self, action: Send) -> None:
         exchange = self._exchanges[action.request]
         now = self.clock.now()
-        attempt = Attempt(exchange, len(exchange.attempts), action.server, now, exchange.repeatable)
+        attempt = Attempt(exchange, len(exchange.attempts), action.server, now, exchange.repeatable, exchange.call_id)
+        if attempt.number:
+            log.info(
+                "request %s: attempt %d goes to backend %x: %s",
+                loggable_id(exchange.call_id),
+                attempt.number + 1,
+                attempt.server,
+                "a second copy" if exchange.open_attempts else exchange.last_failure,
+            )
         exchange.attempts.append(attempt)
         exchange.open_attempts += 1
         request = exchange.request
@@ -865,7 +879,7 @@
     def _on_attempt_timeout(self, attempt: Attempt) -> None:
         if not attempt.ended:
             progress = self.backends.cancel(attempt)
-            self.backends.drop_idle(attempt.server)
+            self.backends.drop_idle(attempt.server, CloseReason.BACKEND_SILENT)
             self.on_attempt_ended(attempt, Outcome.TIMEOUT, None, f"no answer within the attempt's time: {progress}")
 
     def may_start(self, attempt: Attempt) -> bool:
@@ -923,7 +937,7 @@
                 self._increment("served")
                 exchange.caller.end_answer()
             else:
-                log.info("answer aborted: %s", exchange.last_failure)
+                log.info("request %s: answer aborted: %s", loggable_id(exchange.call_id), exchange.last_failure)
                 exchange.caller.abort_answer()
         elif not exchange.answered and outcome is Outcome.OK and response is not None:
             exchange.answered = True
@@ -938,6 +952,10 @@
         )
         self._forget_if_settled(exchange)
 
+    def on_backend_connection_closed(self, reason: CloseReason) -> None:
+        """Counts the end of a connection to a backend, for the periodic report."""
+        self._increment(f"connections {reason.value}")
+
     # ---- discovery -----------------------------------------------------------------------
 
     def on_list(self, kind: ListKind, entries: Sequence[BackendEntry]) -> None:
--- a/cometusher/serialization.py
+++ b/cometusher/serialization.py
@@ -5,6 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
+from cometusher.backends import CloseReason
 from cometusher.discovery import BackendList, parse_list
 from weldroute import ListKind, State
 from weldroute.handover import OperatorOrders, apply_operator_orders
@@ -65,7 +66,7 @@
     proxy.servers_by_host.update((host, server) for host, server, _ in orders.bans)
     for server in apply_operator_orders(proxy.balancer, proxy.clock.now(), orders):
         log.info("backend %x: %s", server, "banned" if server in proxy.balancer.bans else "no longer banned")
-        proxy.backends.drop_idle(server)
+        proxy.backends.drop_idle(server, CloseReason.BACKEND_CHANGED)
     if orders.evacuated is not proxy.operations.evacuated:
         log.info("the proxy %s", "is evacuated" if orders.evacuated else "has rejoined")
         if orders.evacuated:
