--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -2,12 +2,18 @@
 
 from __future__ import annotations
 
+import asyncio
 import logging
+from collections import Counter
+from pathlib import Path
 
 import pytest
-from rig import Backend, Message, Writer, reply, rig, until
+from rig import Backend, Message, Script, Writer, reply, rig, until
+from test_process import connect, proxy_process
 from test_proxy import ONE_COPY, run
 
+from standins.faulty_link import FaultyLink, LinkFault
+
 
 def test_log_names_request_and_connection_of_each_close_and_retry(caplog: pytest.LogCaptureFixture) -> None:
     """Without these lines a wrong answer can't be followed from a caller to a backend's connection."""
@@ -39,3 +45,81 @@
     assert "ended: unsolicited input" in text or "ended: more than the answer" in text
     assert "a caller's connection ended: " in text
     assert "\\xc3" * 20 not in text and "\xff" not in text
+
+
+def answer_with_id(repeated: dict[Writer, bytes], work: float) -> Script:
+    """A backend that answers with the id; it rejects `full` ones, and repeats that answer during the next request."""
+
+    async def script(backend: Backend, seen: Message, writer: Writer) -> None:
+        call_id = seen.headers[b"x-call-id"]
+        if call_id.startswith(b"full"):
+            repeated[writer] = reply(503, b"", b"X-Rejected: 1")
+            writer.write(repeated[writer])
+            return
+        writer.write(repeated.pop(writer, b""))
+        await asyncio.sleep(work)
+        writer.write(reply(body=call_id))
+
+    return script
+
+
+def test_late_second_rejection_does_not_repeat_an_unsafe_request(tmp_path: Path) -> None:
+    """Guards against a second run of an unsafe request: the repeated rejection belongs to the request before."""
+
+    async def test() -> None:
+        repeated: dict[Writer, bytes] = {}
+        backends = [Backend(number, answer_with_id(repeated, 0.05)) for number in (1, 2)]
+        for backend in backends:
+            await backend.start()
+        async with proxy_process(tmp_path, [backend.discovery_entry() for backend in backends]) as (_, port):
+            caller = await connect(port)
+            assert (await caller.call(kind="once", request_id="full"))[0] == 503
+            status, seen = await caller.call(kind="once", request_id="x")
+            runs = [seen.headers[b"x-call-id"] for backend in backends for seen in backend.requests]
+            assert runs.count(b"x") == 1
+            assert (status, seen.body) == (200, b"x")
+        for backend in backends:
+            await backend.stop()
+
+    run(test)
+
+
+def test_late_second_answers_reach_no_other_request(tmp_path: Path) -> None:
+    """Guards against answers that no backend made for the request: each is sent once more, some milliseconds late.
+
+    A real process between links that repeat every answer on the same connection, 1 to 40 ms after it.
+    """
+
+    async def test() -> None:
+        backends = [Backend(number, answer_with_id({}, 0.02)) for number in (1, 2, 3)]
+        links = []
+        entries = []
+        for backend in backends:
+            await backend.start()
+            link = FaultyLink(("127.0.0.1", backend.port), seed=backend.number)
+            await link.start()
+            await link.set_fault(LinkFault("repeat", median_delay=0.006, spread=0.6))
+            links.append(link)
+            entries.append(backend.discovery_entry(dial=f"127.0.0.1:{link.port}"))
+        wrong: list[tuple[str, int, bytes]] = []
+
+        async def calls(port: int, number: int) -> None:
+            caller = await connect(port)
+            for i in range(60):
+                kind = ("view", "submit", "once")[(number + i) % 3]
+                call_id = f"{'full' if i % 7 == 0 else kind}-{number}-{i}"
+                status, seen = await caller.call(kind=kind, request_id=call_id)
+                if status == 200 and seen.body != call_id.encode():
+                    wrong.append((call_id, status, seen.body))
+
+        async with proxy_process(tmp_path, entries) as (_, port):
+            await asyncio.gather(*(calls(port, number) for number in range(6)))
+        for link in links:
+            await link.stop()
+        for backend in backends:
+            await backend.stop()
+        sent = Counter(seen.headers[b"x-call-id"] for backend in backends for seen in backend.requests)
+        assert not wrong
+        assert not [call_id for call_id, count in sent.items() if call_id.startswith(b"once") and count > 1]
+
+    run(test)
