--- a/cometusher/fault_injection/scenario.py
+++ b/cometusher/fault_injection/scenario.py
@@ -36,7 +36,7 @@
 }
 LINKS = ("caller", "backend", "discovery", "control")
 OWN_LINKS = ("own", "own-discovery")  # links of isolated instances alone: to backends, to discovery
-LINK_FAULTS = ("pass", "drop", "mute", "reset", "refuse", "half", "slow", "narrow", "cut")
+LINK_FAULTS = ("pass", "drop", "mute", "reset", "refuse", "half", "slow", "narrow", "cut", "repeat")
 FIGURES = (
     "full_s",
     "back_s",
