A connection rests after an answer before it is used again; unsafe requests never reuse

Cause: Backends.send took the most recently used idle connection at once after an answer, checked only that nothing was unread, and took the next answer on it for that of the new request. A second answer that a backend (or something between) sends some milliseconds late then came with the next request open: a 200 became its answer, a 503 with X-Rejected 'proved' that it never ran, so an unsafe request was sent again while the first backend was working (Outcome.FULL is in NEVER_RAN).

Class: response desynchronisation; an answer is given to a request by order alone on a connection that may still carry something older. Input seen later on any connection makes all rest for twice that long, for a minute; - no rest is certain, so a request that must not run twice always gets a new connection, where no older answer exists; such connections are closed after the answer if another idle one is there, so that backends don't fill up; - of several rested connections the youngest is used, as before.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -101,14 +101,20 @@
     Mutant(
         "an abandoned attempt keeps its connection",
         "backends",
-        "attempt.connection.close()\n        return progress",
+        "attempt.connection.close(CloseReason.ATTEMPT_CANCELLED)\n        return progress",
         "pass\n        return progress",
     ),
     Mutant(
         "a connection in use is reused",
         "backends",
-        "self.remove_from_pool(connection)\n            self._busy[connection] = None\n            connection.send",
-        "self._busy[connection] = None\n            connection.send",
+        "self.remove_from_pool(connection)\n                self._busy",
+        "self._busy",
+    ),
+    Mutant(
+        "a connection is reused at once after an answer",
+        "weldroute/connection_reuse",
+        "return max(MIN_REST, REST_MARGIN * self._recent_late_input_age(now))",
+        "return 0.0",
     ),
     Mutant(
         "the balancer is not notified that a caller left",
--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections import deque
+from bisect import bisect_right
 from collections.abc import Callable
 from enum import Enum
 from typing import Any, Protocol, cast
@@ -18,15 +18,13 @@
 from cometusher.http1 import LAST_CHUNK, MAX_BODY, Malformed, Response, ResponseParser, chunk
 from cometusher.runtime import Network
 from cometusher.stream import BodyStream
-from weldroute import Outcome
+from weldroute import Outcome, Repeat
+from weldroute.connection_reuse import ConnectionReuse
 from weldroute.model import ServerId
 
 log = logging.getLogger(__name__)
 
-IDLE_TIMEOUT_FRACTION = 0.8  # of the backends' own idle timeout; a write that races with their close is lost
 IMMEDIATE_RESET_WINDOW = 0.05  # seconds; a reset within them means that the connection was dead before the write
-CLOSE_RACES, CLOSE_RACES_WINDOW = 3, 20.0  # that many such resets in that many seconds make idle connections suspect
-MIN_RACE_IDLE_AGE = 0.1  # seconds idle; a reset of a connection that was idle for less, or is new, has another cause
 ANSWER_STALL_TIMEOUT = 0.3  # seconds without a byte after which a partial answer is broken
 ANSWER_READ_TIMEOUT = 1.0  # seconds from first to last byte of an answer that is not streamed
 STREAM_DELAY_UNKNOWN_LENGTH = 0.35  # seconds after which an answer of unknown length is streamed
@@ -44,7 +42,8 @@
     NOT_KEPT = "not kept open after its answer"
     ANSWER_BROKEN = "its answer broke"
     ATTEMPT_CANCELLED = "its attempt was cancelled"
-    UNREAD_INPUT = "closed or written to by the backend while idle"
+    UNREAD_INPUT = "closed or written to by the backend before a request"
+    NOT_NEEDED = "other connections are kept for those that may use it"
     IDLE_TIMEOUT = "idle for too long"
     BACKEND_CHANGED = "its backend drained, moved, restarted, went or was banned"
     BACKEND_SILENT = "its backend let an attempt time out"
@@ -88,21 +87,21 @@
         "journal_index",
         "number",
         "owner",
-        "repeatable",
+        "repeat",
         "sent_at",
         "server",
         "stream",
     )
 
     def __init__(
-        self, owner: object, number: int, server: ServerId, sent_at: float, repeatable: bool, call_id: bytes = b""
+        self, owner: object, number: int, server: ServerId, sent_at: float, repeat: Repeat, call_id: bytes = b""
     ) -> None:
         self.owner = owner
         self.call_id = call_id  # of its request, for the log
         self.number = number
         self.server = server
         self.sent_at = sent_at
-        self.repeatable = repeatable  # safe to repeat, so that a reset costs little
+        self.repeat = repeat  # whether its request may run more than once
         self.expires_at = float("inf")  # its own deadline, ahead of the request's
         self.head = b""  # set when it is written
         self.body: bytearray | bytes = b""
@@ -183,6 +182,8 @@
                 self,
                 (self._pool.loop.time() - self.idle_since) * 1000.0,
             )
+            if self.use_count:
+                self._pool.reuse.on_late_input(self._pool.loop.time(), self._pool.loop.time() - self.idle_since)
             self.close(CloseReason.UNSOLICITED_INPUT)
             return
         self.last_read_at = self._pool.loop.time()
@@ -319,12 +320,12 @@
         self.attempt_started_at = self.last_read_at = self._pool.loop.time()
         self._answer_started_at = 0.0
 
-    def is_reusable(self) -> bool:
-        """Whether an idle connection can carry another request.
+    def is_silent(self) -> bool:
+        """Whether the connection is up and nothing has arrived on it, so that it can carry a request.
 
-        Input since the last answer (a second copy of it, noise) must not become the answer to the next request, and
-        nothing may be written to a connection that the backend has closed. The event loop may not have reported
-        either yet; both make the socket readable.
+        Input before a request (a second copy of the last answer, noise) must not become its answer, and nothing may
+        be written to a connection that the backend has closed. The event loop may not have reported either yet;
+        both make the socket readable.
         """
         if self.transport is None or self.transport.is_closing():
             return False
@@ -346,7 +347,7 @@
             log.info("more than the answer on %s; closing", self)
             self.close(CloseReason.SURPLUS_INPUT)
         elif response.keep_alive and not answered_early and not response.until_eof:
-            self._pool.return_to_pool(self)
+            self._pool.keep_or_close(self, attempt.repeat)
         else:
             self.close(CloseReason.NOT_KEPT)
         if answered_early and outcome is Outcome.OK:
@@ -385,9 +386,11 @@
             self.last_read_at == self.attempt_started_at
             and self._pool.loop.time() - self.attempt_started_at < IMMEDIATE_RESET_WINDOW
         ):
-            self._pool.on_immediate_reset(self.attempt_started_at - self.idle_since if self.use_count > 1 else 0.0)
+            idle_before = self.attempt_started_at - self.idle_since if self.use_count > 1 else 0.0
+            self._pool.reuse.on_immediate_reset(self._pool.loop.time(), idle_before)
         response = self._parser.response
         request_incomplete = self._request_incomplete
+        reason = f"{reason} {self._elapsed()}"
         self._release()
         if response is not None and self._parser.head_done and response.status != 200:
             self._pool.finish(attempt, *classify_head(response))
@@ -395,7 +398,7 @@
             # A backend runs a request only after its last byte, so this one never ran.
             self._pool.finish(attempt, Outcome.UNREACHABLE, None, f"{reason} before the request was complete")
         else:
-            self._pool.finish(attempt, Outcome.BROKEN, None, f"{reason} {self._elapsed()}")
+            self._pool.finish(attempt, Outcome.BROKEN, None, reason)
 
     def check_stalled(self, now: float) -> None:
         """Fails an attempt whose answer has begun and then stalls, or arrives too slowly.
@@ -468,7 +471,7 @@
         self.sink = sink
         self._descriptors = descriptors
         self._connect_timeout = connect_timeout
-        self._idle_timeout = idle_timeout * IDLE_TIMEOUT_FRACTION if idle_timeout > 0.0 else 60.0
+        self.reuse = ConnectionReuse(idle_timeout)
         self._backends: dict[ServerId, Backend] = {}
         self._owners: dict[Address, ServerId] = {}  # the backend last listed at each address
         self._idle: dict[BackendConnection, None] = {}  # of all backends, longest idle first
@@ -477,9 +480,6 @@
         self._connection_count = 0  # since the process started, with those that were taken over
         self.before_send: Callable[[Attempt], None] | None = None  # called before an attempt is written
         self._takeover_tasks: set[asyncio.Task[None]] = set()
-        self._close_races: deque[tuple[float, float]] = deque(
-            maxlen=CLOSE_RACES
-        )  # time of the reset, seconds idle before
         self._last_sweep_at = 0.0
         descriptors.evict_backend = self._evict
 
@@ -552,28 +552,32 @@
         if backend is None:
             self.loop.call_soon(self.finish, attempt, Outcome.UNREACHABLE, None, "no such backend")
             return
-        now = self.loop.time()
-        # A repeat of a request that is not safe to repeat uses a new connection, so that it isn't lost to the next
-        # dead one. The cost: a handshake for each such repeat.
-        needs_new_connection = attempt.number > 0 and not attempt.repeatable
-        while backend.idle and not needs_new_connection:
-            connection = backend.idle[-1]
-            age = now - connection.idle_since
-            if age >= self._idle_timeout:
-                self._discard(connection, CloseReason.IDLE_TIMEOUT)
-                continue
-            if not connection.is_reusable():
-                self._discard(connection, CloseReason.UNREAD_INPUT)
-                continue
-            if not attempt.repeatable and age >= self._trusted_idle_age(now):
-                break
-            self.remove_from_pool(connection)
-            self._busy[connection] = None
+        connection = self._take_idle(backend, attempt)
+        if connection is not None:
             connection.send(attempt)
             return
         self.connections_opened += 1
         attempt.connect_task = self.loop.create_task(self._connect(backend, attempt))
 
+    def _take_idle(self, backend: Backend, attempt: Attempt) -> BackendConnection | None:
+        """Takes the youngest idle connection that may carry an attempt, or None if there is none."""
+        if not self.reuse.may_reuse(attempt.repeat, attempt.number == 0):
+            return None
+        now = self.loop.time()
+        rested_since = now - self.reuse.min_idle(now)
+        oldest_usable = now - self.reuse.max_idle(now, attempt.repeat)
+        idle = backend.idle  # the longest idle first
+        index = bisect_right(idle, rested_since, key=lambda connection: connection.idle_since) - 1
+        while index >= 0 and idle[index].idle_since > oldest_usable:
+            connection = idle[index]
+            index -= 1
+            if connection.is_silent():
+                self.remove_from_pool(connection)
+                self._busy[connection] = None
+                return connection
+            self._discard(connection, CloseReason.UNREAD_INPUT)
+        return None
+
     def take_over(self, attempt: Attempt, connection: Any, bytes_written: int, bytes_read: int) -> None:
         """Continues an attempt that another process has sent, on its connection (as `Network.attach` takes it).
 
@@ -599,28 +603,6 @@
         if attempt.ended:  # while the connection was attached
             protocol.close(CloseReason.ATTEMPT_CANCELLED)
 
-    def on_immediate_reset(self, age: float) -> None:
-        """Records a request that was reset right after its write, on a connection idle for `age` seconds."""
-        if age >= MIN_RACE_IDLE_AGE:
-            self._close_races.append((self.loop.time(), age))
-        else:
-            # A backend that resets every request must not be mistaken for one that closes idle connections early:
-            # new connections would cost it work without any benefit (incident r75d229). Only one record is removed
-            # for each such reset, so that early closes still show where both kinds occur.
-            if self._close_races:
-                self._close_races.popleft()
-
-    def _trusted_idle_age(self, now: float) -> float:
-        """The longest idle time in seconds of a connection for a request that is not safe to repeat.
-
-        Backends, or proxies in front of them, may close idle connections long before the configured time, and a
-        request that races with the close may have run. Requests that are safe to repeat go on using older
-        connections, as a new one costs the backend work.
-        """
-        if len(self._close_races) < CLOSE_RACES or now - self._close_races[0][0] > CLOSE_RACES_WINDOW:
-            return self._idle_timeout
-        return 0.8 * min(age for _, age in self._close_races)
-
     async def _connect(self, backend: Backend, attempt: Attempt) -> None:
         connection = BackendConnection(self, backend)
         has_descriptor = False
@@ -692,6 +674,17 @@
         backend.idle.append(connection)
         self._idle[connection] = None
 
+    def keep_or_close(self, connection: BackendConnection, repeat: Repeat) -> None:
+        """Keeps a connection after an answer to a request with this effect, or closes it if it isn't needed.
+
+        A class whose requests each open a connection would otherwise leave one behind for every request.
+        """
+        if connection.backend.idle and not self.reuse.may_reuse(repeat, first_attempt=True):
+            self._busy.pop(connection, None)
+            connection.close(CloseReason.NOT_NEEDED)
+        else:
+            self.return_to_pool(connection)
+
     def remove_from_pool(self, connection: BackendConnection) -> None:
         """Removes a connection from the pool."""
         if connection in self._idle:
@@ -722,7 +715,7 @@
         was_delayed, self._last_sweep_at = now - self._last_sweep_at > LATE_SWEEP, now
         while self._idle:
             connection = next(iter(self._idle))
-            if connection.idle_since > now - self._idle_timeout:
+            if connection.idle_since > now - self.reuse.idle_timeout:
                 break
             self._discard(connection, CloseReason.IDLE_TIMEOUT)
         if was_delayed:
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -133,7 +133,7 @@
         "open_attempts",
         "open_id_slot",
         "proxy",
-        "repeatable",
+        "repeat",
         "request",
         "request_id",
         "streaming_attempt",
@@ -158,7 +158,7 @@
         self.budget = 0.0  # seconds from the request's last byte that the caller allows
         self.streaming_attempt: Attempt | None = None  # the attempt whose answer is being streamed to the caller
         self.headers: Headers = []
-        self.repeatable = False  # requests of its class are safe to repeat
+        self.repeat = Repeat.UNSAFE  # of its class
         self.attempts: list[Attempt] = []
         self.open_attempts = 0
         self.journal_slot = -1  # its slot in the request journal; -1 while it has none
@@ -557,7 +557,7 @@
         exchange = Exchange(self, caller, request, str(self._request_count), call_id, deadline)
         exchange.budget = budget
         exchange.headers = [h for h in end_to_end(request.headers) if h[0] != b"x-budget"]
-        exchange.repeatable = self.config.settings.classes[class_index].repeat is Repeat.SAFE
+        exchange.repeat = self.config.settings.classes[class_index].repeat
         self._exchanges[exchange.request_id] = exchange
         self._open_ids.add(exchange.call_id)
         if self._hot_restart is not None:
@@ -591,7 +591,7 @@
         An attempt with a connection in `connections` goes on here; one without has ended.
         """
         for number, (prior, connection) in enumerate(zip(prior_attempts, connections, strict=True)):
-            attempt = Attempt(exchange, number, prior.server, prior.sent, exchange.repeatable, exchange.call_id)
+            attempt = Attempt(exchange, number, prior.server, prior.sent, exchange.repeat, exchange.call_id)
             attempt.journal_index = number
             attempt.ended = connection is None
             exchange.attempts.append(attempt)
@@ -812,7 +812,7 @@
     def _send(self, action: Send) -> None:
         exchange = self._exchanges[action.request]
         now = self.clock.now()
-        attempt = Attempt(exchange, len(exchange.attempts), action.server, now, exchange.repeatable, exchange.call_id)
+        attempt = Attempt(exchange, len(exchange.attempts), action.server, now, exchange.repeat, exchange.call_id)
         if attempt.number:
             log.info(
                 "request %s: attempt %d goes to backend %x: %s",
--- a/cometusher/simulation/container_audit.py
+++ b/cometusher/simulation/container_audit.py
@@ -10,6 +10,8 @@
 from collections.abc import Iterator
 from typing import Any
 
+from cometusher.backends import CloseReason
+
 CONTAINER_TYPES = (dict, list, set, deque, bytearray)
 AUDITED_MODULES = ("cometusher.", "weldroute.")
 EXCLUDED_MODULES = ("cometusher.simulation.",)
@@ -18,7 +20,7 @@
 BOUNDS: dict[str, tuple[int, int]] = {
     "Backends._backends": (0, 1),
     "Backends._owners": (0, 1),
-    "Backends._close_races": (3, 0),
+    "ConnectionReuse._close_races": (3, 0),
     "Balancer.cells": (0, 1),
     "Balancer.cells[]": (0, 1),
     "Balancer.zone_breakers": (0, 1),
@@ -37,8 +39,8 @@
     "Proxy._typical_budgets": (3, 0),
     "Balancer.first_call_due": (0, 1),
     "Proxy.servers_by_host": (0, 1),
-    "Proxy.counters": (16, 0),
-    "Proxy._reported_counters": (16, 0),
+    "Proxy.counters": (16 + len(CloseReason), 0),
+    "Proxy._reported_counters": (16 + len(CloseReason), 0),
     "AdmissionControl.asked": (12, 0),
     "AdmissionControl.chance": (12, 0),
     "AdmissionControl.served": (12, 0),
--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 
 import pytest
-from rig import Backend, Message, Script, Writer, reply, rig, until
+from rig import Backend, Message, Script, Writer, reply, rig, serve_ok, until
 from test_process import connect, proxy_process
 from test_proxy import ONE_COPY, run
 
@@ -123,3 +123,16 @@
         assert not [call_id for call_id, count in sent.items() if call_id.startswith(b"once") and count > 1]
 
     run(test)
+
+
+def test_requests_that_need_new_connections_leave_few_behind() -> None:
+    """A backend holds only so many connections: an unsafe class must not leave one idle for each request."""
+
+    async def test() -> None:
+        async with rig(serve_ok, settings=ONE_COPY) as r:
+            for i in range(20):
+                assert (await r.call(kind="once", request_id=str(i)))[0] == 200
+            assert r.backends[0].connections == 20
+            await until(lambda: r.proxy.backends.counts() == (0, 1))
+
+    run(test)
