What a new connection brings before its first request is never an answer

Backends._connect wrote the request on a new connection without looking whether something had arrived on it meanwhile; that would have been taken for the answer. Seen with the test: a connection that brings an answer before the request served it to the caller (200 'of nobody'). Now the connection is closed, and the attempt ends as one that was never sent, which is certain: nothing was written. One poll for each new connection.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -629,6 +629,11 @@
         if connection.transport is None:
             self.finish(attempt, Outcome.UNREACHABLE, None, "connection lost right after it was made")
             return
+        if not connection.is_silent():
+            # Whatever has come, or the end of the connection, came before the request: it can't be an answer to it.
+            connection.close(CloseReason.UNREAD_INPUT)
+            self.finish(attempt, Outcome.UNREACHABLE, None, "closed or written to by the backend before the request")
+            return
         if not self.sink.may_start(attempt):
             # Something has changed while the connection was made: see `Balancer.may_start`.
             self.return_to_pool(connection)
--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
+import socket
 from collections import Counter
 from pathlib import Path
+from typing import Any
 
 import pytest
-from rig import Backend, Message, Script, Writer, reply, rig, serve_ok, until
+from rig import PEER_TIMEOUT, Backend, Message, Script, Writer, reply, rig, serve_ok, until
 from test_process import connect, proxy_process
 from test_proxy import ONE_COPY, run
 
@@ -125,6 +128,40 @@
     run(test)
 
 
+def test_connection_that_speaks_before_its_first_request_is_not_used(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against an answer that was there before the request, on a new connection; nothing was sent on it."""
+
+    async def test() -> None:
+        async with rig(serve_ok, settings=ONE_COPY) as r:
+            accepted: list[socket.socket] = []
+            speaker = socket.create_server(("127.0.0.1", 0))
+            loop: Any = r.proxy.backends.loop
+
+            class Loop:
+                """Writes an answer to each new connection before the proxy writes its request."""
+
+                def __getattr__(self, name: str) -> Any:
+                    return getattr(loop, name)
+
+                async def create_connection(self, factory: Any, *address: Any) -> Any:
+                    made = await loop.create_connection(factory, *speaker.getsockname())
+                    accepted.append(speaker.accept()[0])
+                    accepted[-1].sendall(reply(body=b"of nobody"))
+                    return made
+
+            monkeypatch.setattr(r.proxy.backends, "loop", Loop())
+            status, seen = await r.call(kind="once")
+            assert (status, seen.body) == (503, b"refused\n")
+            for connection in accepted:
+                connection.settimeout(PEER_TIMEOUT)
+                with contextlib.suppress(ConnectionResetError):
+                    assert connection.recv(1000) == b""
+                connection.close()
+            speaker.close()
+
+    run(test)
+
+
 def test_requests_that_need_new_connections_leave_few_behind() -> None:
     """A backend holds only so many connections: an unsafe class must not leave one idle for each request."""
 
