The budget of a streamed request counts while the reading of its body is paused

The body's last byte had come to the kernel while reading was paused, for the 0.3 s in which a connection to a backend did not come up; Proxy.request_head stated the whole budget, because the body was not complete for the proxy. Now what may have passed since the pause began is taken off. Left: after the body is read, the proxy's own deadline still counts from the read.

--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -104,6 +104,7 @@
         self._linger_until = 0.0
         self._last_read_at = 0.0
         self._head_complete_at = 0.0  # of the request being read
+        self._body_paused_at: float | None = None  # when reading of a body was paused, None while it is not
         self._answer_chunked = False  # the streamed answer
         self._streaming_answer = False  # begin_answer was called, end_answer not yet
         self._unsent_bytes = 0  # size of the write buffer at the last check
@@ -197,15 +198,22 @@
 
     def pause_body(self) -> None:
         """Stops reading from the caller."""
+        self._body_paused_at = self._callers.loop.time()
         if self._transport is not None:
             self._transport.pause_reading()
 
     def resume_body(self) -> None:
         """Resumes reading from the caller."""
+        self._body_paused_at = None
         self._last_read_at = self._callers.loop.time()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
 
+    @property
+    def body_paused_for(self) -> float:
+        """Seconds for which the last byte of the body may have been waiting, because reading is paused."""
+        return 0.0 if self._body_paused_at is None else self._callers.loop.time() - self._body_paused_at
+
     # ---- reading -------------------------------------------------------------------------
 
     @property
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -845,7 +845,8 @@
         assert isinstance(exchange, Exchange)
         request, stream = exchange.request, attempt.stream
         if stream is not None and not stream.complete:
-            time_left = exchange.budget  # the budget counts from the request's last byte
+            # The budget counts from the request's last byte, which may have come while reading was paused.
+            time_left = exchange.budget - exchange.caller.body_paused_for
         else:
             time_left = min(exchange.deadline, attempt.expires_at) - self.clock.now()
         headers = [*exchange.headers, (b"x-budget", format_budget(max(0.0, time_left)))]
--- a/tests/loopback/test_race_conditions.py
+++ b/tests/loopback/test_race_conditions.py
@@ -117,6 +117,26 @@
     run(test)
 
 
+def test_budget_of_a_streamed_request_counts_while_its_reading_is_paused() -> None:
+    """Guards against a budget that begins anew when a body is read that had come long before."""
+
+    async def test() -> None:
+        async with rig(serve_ok, settings=SLOW_CONNECT) as r:
+            connects = HeldConnects(r)
+            body = b"x" * 200_000
+            call = asyncio.ensure_future(r.call(kind="submit", body=body, budget="5000m"))
+            await connects.wait_started()
+            exchange = next(iter(r.proxy._exchanges.values()))
+            await until(lambda: exchange.caller._body_paused_at is not None)
+            assert exchange.caller._body_paused_at is not None
+            exchange.caller._body_paused_at -= 1.5  # as if the reading had been paused for so long
+            connects.release()
+            assert (await call)[0] == 200
+            assert int(r.seen[0].headers[b"x-budget"][:-1]) <= 3_500_000
+
+    run(test)
+
+
 @pytest.mark.parametrize("health", ["terminating", "terminated"])
 def test_backend_that_drains_during_the_connect_gets_no_request(health: str) -> None:
     async def test() -> None:
