--- a/cometusher/simulation/script.py
+++ b/cometusher/simulation/script.py
@@ -98,7 +98,10 @@
     "slow": (("backend",), lambda rng: round(rng.uniform(2.0, 30.0), 1)),
     "stall": (("backend",), None),
     "spoil": (("backend",), None),
-    "double": (("backend",), None),
+    "double": (
+        ("backend",),
+        lambda rng: rng.choice((0.0, round(rng.uniform(0.001, 0.04), 3))),
+    ),  # each response is sent once more, after `by` seconds
     "reset": (("backend",), None),
     "error": (("backend",), None),
     "hasty": (
@@ -189,10 +192,6 @@
     )
     plan = replace(plan, shared=int(rng.random() < 0.3))
     plan = replace(plan, faults=tuple(sorted(_draw_faults(rng, plan), key=lambda fault: fault.at)))
-    if any(fault.what == "double" for fault in plan.faults):
-        # If a write is split between an answer and its copy, the copy may arrive after the next request was written:
-        # HTTP/1.1 gives a proxy no means to tell it from the next answer.
-        plan = replace(plan, cut=0.0)
     if any(fault.what == "upgrade" for fault in plan.faults):
         plan = replace(plan, shared=1)
     plan = replace(plan, requests=tuple(_draw_requests(rng, plan)))
--- a/cometusher/simulation/world.py
+++ b/cometusher/simulation/world.py
@@ -1291,6 +1291,8 @@
         if fault_kind == "hasty":
             service.idle_for = fault.by
             return lambda: setattr(service, "idle_for", 5.0)
+        if fault_kind == "double":
+            service.copy_delay = fault.by
         service.fault = fault_kind
         self.checker.cutting_backends.add(service.host)
         return service.clear_fault
--- a/standins/service_backend.py
+++ b/standins/service_backend.py
@@ -146,6 +146,7 @@
     started_at: float = 0.0
     slow: float = 1.0
     fault: str = ""
+    copy_delay: float = 0.0  # seconds after which the fault `double` sends a response once more
     draining: bool = False
     idle_for: float = IDLE_TIMEOUT
     overloaded: bool = False
@@ -321,7 +322,9 @@
             if connection.transport is not None:
                 connection.transport.close()
             return
-        connection.write(data + data if self.fault == "double" else data)
+        if self.fault == "double" and self.copy_delay > 0.0:
+            self.loop.call_later(self.copy_delay, connection.write, data)
+        connection.write(data + data if self.fault == "double" and self.copy_delay <= 0.0 else data)
         connection.process_next()
 
     def _close_idle(self) -> None:
--- a/tests/virtual/test_worlds.py
+++ b/tests/virtual/test_worlds.py
@@ -46,7 +46,7 @@
             for i, target in enumerate(targets)
             if target in available
         )
-        if fault_kind in ("lag", "coarse", "hasty"):
+        if fault_kind in ("lag", "coarse", "hasty", "double"):
             faults = tuple(replace(fault, by=0.04) for fault in faults)
         if fault_kind == "narrow":
             faults = tuple(replace(fault, by=1e5) for fault in faults)
