--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -317,7 +317,7 @@
 @pytest.mark.parametrize("script", [answer_twice, answer_and_a_partial_one, answer_and_noise])
 def test_input_behind_an_answer_is_never_the_next_answer(script: Any) -> None:
     async def test() -> None:
-        async with rig(script) as r:
+        async with rig(script, settings=ONE_COPY) as r:
             for rid in range(4):
                 status, seen = await r.call(kind="submit", request_id=str(rid))
                 assert (status, seen.body) == (200, b"%d" % rid)
@@ -672,7 +672,7 @@
         writer.close()
 
     async def test() -> None:
-        async with rig(once) as r:
+        async with rig(once, settings=ONE_COPY) as r:
             for i in range(3):
                 assert (await r.call(kind="submit", request_id=str(i)))[0] == 200
                 await until(lambda: not r.proxy.backends._idle)
@@ -806,7 +806,7 @@
                 used.add(writer)
                 writer.write(reply())
 
-        async with rig(one_each) as r:
+        async with rig(one_each, settings=ONE_COPY) as r:
             pool = r.proxy.backends
             while not pool.reuse._sees_early_closes(r.proxy.loop.time()):
                 await r.call(request_id="safe")
