A rejection on a kept connection proves nothing while input outlasts the rest

A keyed request is sent to another group only if the attempt before surely never ran, and the proof is a 503 with X-Rejected. While input is seen that comes later after an answer than connections rest, such a rejection on a connection that carried a request before may be that of the earlier one; it counts as an error that may have run then, so the repeat stays in its group and the end is a failure, no refusal. Unsafe requests have new connections anyway, safe ones lose nothing. The test fails without it (503 for 502). Nothing changes while no such input is seen.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -340,7 +340,7 @@
     def _on_answered(self, attempt: Attempt, response: Response) -> None:
         answered_early = self._request_incomplete
         self._release()
-        outcome, reason = classify(response)
+        outcome, reason = self._judge(attempt, response)
         if outcome is not Outcome.OK:
             reason = f"{reason} {self._elapsed()}"
         if self._parser.has_surplus:
@@ -354,6 +354,16 @@
             outcome, reason = Outcome.BROKEN, "answered before the request was complete"
         self._pool.finish(attempt, outcome, response, reason)
 
+    def _judge(self, attempt: Attempt, response: Response) -> tuple[Outcome, str]:
+        """The outcome of an answer, and the reason for the log; a rejection may be that of an earlier request."""
+        outcome, reason = classify(response)
+        now = self._pool.loop.time()
+        if outcome is Outcome.FULL and not self._pool.reuse.proves_rejection(
+            now, attempt.repeat, self.use_count == 1
+        ):
+            return Outcome.ERROR, f"{reason}, which late input may have been,"
+        return outcome, reason
+
     # ---- closing ----------------------------------------------------------------------------
 
     def _release(self) -> None:
@@ -393,7 +403,8 @@
         reason = f"{reason} {self._elapsed()}"
         self._release()
         if response is not None and self._parser.head_done and response.status != 200:
-            self._pool.finish(attempt, *classify_head(response))
+            outcome, cause = self._judge(attempt, response)
+            self._pool.finish(attempt, outcome, None, f"{cause}; {reason}")
         elif request_incomplete:
             # A backend runs a request only after its last byte, so this one never ran.
             self._pool.finish(attempt, Outcome.UNREACHABLE, None, f"{reason} before the request was complete")
@@ -437,12 +448,6 @@
     return repr(call_id[:32])[2:-1] or "without an id"
 
 
-def classify_head(response: Response) -> tuple[Outcome, None, str]:
-    """The outcome of an answer other than 200 of which only the head is complete."""
-    outcome, reason = classify(response)
-    return outcome, None, reason
-
-
 def classify(response: Response) -> tuple[Outcome, str]:
     """The outcome of a complete answer, and the reason for the log."""
     if response.status == 200:
@@ -564,10 +569,9 @@
         if not self.reuse.may_reuse(attempt.repeat, attempt.number == 0):
             return None
         now = self.loop.time()
-        rested_since = now - self.reuse.min_idle(now)
         oldest_usable = now - self.reuse.max_idle(now, attempt.repeat)
         idle = backend.idle  # the longest idle first
-        index = bisect_right(idle, rested_since, key=lambda connection: connection.idle_since) - 1
+        index = self._rested_count(backend) - 1
         while index >= 0 and idle[index].idle_since > oldest_usable:
             connection = idle[index]
             index -= 1
@@ -732,6 +736,13 @@
         """Number of idle connections, by backend that has any."""
         return {server: len(backend.idle) for server, backend in self._backends.items() if backend.idle}
 
+    def _rested_count(self, backend: Backend) -> int:
+        """Number of a backend's idle connections that have rested; they stand first in its list."""
+        now = self.loop.time()
+        return bisect_right(
+            backend.idle, now - self.reuse.min_idle(now), key=lambda connection: connection.idle_since
+        )
+
     def counts(self) -> tuple[int, int]:
         """Numbers of connections in use and idle."""
         return len(self._busy), len(self._idle)
--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -13,9 +13,12 @@
 import pytest
 from rig import PEER_TIMEOUT, Backend, Message, Script, Writer, reply, rig, serve_ok, until
 from test_process import connect, proxy_process
-from test_proxy import ONE_COPY, run
+from test_proxy import ONE_COPY, RESTED, run
 
+from cometusher.discovery import parse_list
 from standins.faulty_link import FaultyLink, LinkFault
+from weldroute import ListKind
+from weldroute.connection_reuse import MIN_REST
 
 
 def test_log_names_request_and_connection_of_each_close_and_retry(caplog: pytest.LogCaptureFixture) -> None:
@@ -50,6 +53,14 @@
     assert "\\xc3" * 20 not in text and "\xff" not in text
 
 
+def is_second(seen: Message) -> bool:
+    return seen.headers[b"x-call-id"] == b"second"
+
+
+async def reject_second(backend: Backend, seen: Message, writer: Writer) -> None:
+    writer.write(reply(503, b"", b"X-Rejected: 1") if is_second(seen) else reply())
+
+
 def answer_with_id(repeated: dict[Writer, bytes], work: float) -> Script:
     """A backend that answers with the id; it rejects `full` ones, and repeats that answer during the next request."""
 
@@ -173,3 +184,23 @@
             await until(lambda: r.proxy.backends.counts() == (0, 1))
 
     run(test)
+
+
+def test_keyed_request_stays_in_its_group_after_a_doubtful_rejection() -> None:
+    """Guards against an effect in two groups: a rejection comes on a kept connection while late input is seen."""
+
+    async def test() -> None:
+        async with rig(reject_second, reject_second, settings=ONE_COPY) as r:
+            for backend, zone in zip(r.backends, ("a", "b"), strict=True):
+                entry = backend.discovery_entry(site=zone)
+                r.proxy.on_list(ListKind.PATCH, parse_list({"hosts": [entry]}, r.proxy.config.zones).entries)
+            for i in range(10):
+                assert (await r.call(request_id=f"first-{i}"))[0] == 200
+            await asyncio.sleep(RESTED)
+            r.proxy.backends.reuse.on_late_input(r.proxy.loop.time(), 2.0 * MIN_REST)
+            await asyncio.sleep(5.0 * MIN_REST)
+            assert (await r.call(kind="submit", request_id="second"))[0] == 502
+            reached = [backend for backend in r.backends if any(is_second(seen) for seen in backend.requests)]
+            assert len(reached) == 1
+
+    run(test)
--- a/tests/loopback/test_race_conditions.py
+++ b/tests/loopback/test_race_conditions.py
@@ -260,6 +260,7 @@
         async with rig(fails_as_the_caller_leaves, fails_as_the_caller_leaves) as r:
             for i in range(4):
                 assert (await r.call(request_id=f"before-{i}"))[0] == 503
+            await asyncio.sleep(RESTED)
             assert set(r.proxy.backends.idle_servers()) == {1, 2}  # so that nothing else delays an attempt
             before = len(r.seen)
             client = connect(r)
--- a/tests/unit/test_connection_reuse.py
+++ b/tests/unit/test_connection_reuse.py
@@ -76,3 +76,15 @@
         reuse.on_immediate_reset(NOW, 1.0)
     reuse.on_immediate_reset(NOW, MIN_RACE_IDLE_AGE / 2.0)
     assert reuse.max_idle(NOW, Repeat.KEYED) == reuse.idle_timeout
+
+
+def test_rejection_on_a_kept_connection_proves_nothing_while_input_outlasts_the_rest() -> None:
+    """Else a keyed request could run in two groups: the rejection may be a late one of an earlier request."""
+    reuse = ConnectionReuse(5.0)
+    reuse.on_late_input(NOW, MIN_REST / REST_MARGIN)
+    assert reuse.proves_rejection(NOW, Repeat.KEYED, first_request=False)
+    reuse.on_late_input(NOW, MIN_REST)
+    assert not reuse.proves_rejection(NOW, Repeat.KEYED, first_request=False)
+    assert reuse.proves_rejection(NOW, Repeat.KEYED, first_request=True)
+    assert reuse.proves_rejection(NOW, Repeat.SAFE, first_request=False)
+    assert reuse.proves_rejection(NOW + LATE_INPUT_MEMORY, Repeat.KEYED, first_request=False)
--- a/weldroute/connection_reuse.py
+++ b/weldroute/connection_reuse.py
@@ -70,6 +70,14 @@
         """
         return repeat is Repeat.SAFE or (repeat is Repeat.KEYED and first_attempt)
 
+    def proves_rejection(self, now: float, repeat: Repeat, first_request: bool) -> bool:
+        """Whether a rejection on a connection shows that the request never ran.
+
+        It may be a second one of an earlier request, while input is seen that comes later than the rest is long;
+        `first_request` says that the connection has carried none before.
+        """
+        return first_request or repeat is Repeat.SAFE or self.min_idle(now) <= MIN_REST
+
     def min_idle(self, now: float) -> float:
         """The shortest idle time after which a connection may be used again."""
         return max(MIN_REST, REST_MARGIN * self._recent_late_input_age(now))
