A connection that was taken over counts as one that carried requests before

A reset right after the takeover no longer counts as that of a connection that was idle since the clock's start.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -43,7 +43,7 @@
     ANSWER_BROKEN = "its answer broke"
     ATTEMPT_CANCELLED = "its attempt was cancelled"
     UNREAD_INPUT = "closed or written to by the backend before a request"
-    NOT_NEEDED = "other connections are kept for those that may use it"
+    NOT_NEEDED = "another idle one is there"
     IDLE_TIMEOUT = "idle for too long"
     BACKEND_CHANGED = "its backend drained, moved, restarted, went or was banned"
     BACKEND_SILENT = "its backend let an attempt time out"
@@ -590,6 +590,8 @@
         backend = self._backends.get(attempt.server) or Backend(attempt.server, ("", 0), 0.0, usable=False)
         protocol = BackendConnection(self, backend)
         protocol.bytes_written, protocol.bytes_read = bytes_written, bytes_read
+        protocol.use_count = 1  # it may have carried other requests before
+        protocol.idle_since = self.loop.time()
         protocol.assign(attempt)
         self._busy[protocol] = None
         task = self.loop.create_task(self._attach(protocol, attempt, connection))
--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -15,9 +15,10 @@
 from test_process import connect, proxy_process
 from test_proxy import ONE_COPY, RESTED, run
 
+from cometusher.backends import Attempt, Backends
 from cometusher.discovery import parse_list
 from standins.faulty_link import FaultyLink, LinkFault
-from weldroute import ListKind
+from weldroute import ListKind, Outcome, Repeat
 from weldroute.connection_reuse import MIN_REST
 
 
@@ -204,3 +205,37 @@
             assert len(reached) == 1
 
     run(test)
+
+
+def test_rejection_on_a_connection_of_another_process_proves_nothing_while_late_input_is_seen() -> None:
+    """Guards against a late rejection on a connection that had carried requests before it was taken over."""
+
+    class Sink:
+        """Notes the outcomes of attempts."""
+
+        def __init__(self) -> None:
+            self.outcomes: list[Outcome] = []
+
+        def on_attempt_ended(self, attempt: Attempt, outcome: Outcome, *rest: Any) -> None:
+            self.outcomes.append(outcome)
+
+        def on_backend_connection_closed(self, reason: Any) -> None:
+            pass
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            sink: Any = Sink()
+            pool = Backends(r.proxy.loop, r.proxy.network, sink, r.proxy.descriptors, 1.0, 5.0)
+            pool.reuse.on_late_input(r.proxy.loop.time(), 2.0 * MIN_REST)
+            with socket.create_server(("127.0.0.1", 0)) as listener:
+                own = socket.create_connection(listener.getsockname())
+                peer, _ = listener.accept()
+            own.setblocking(False)
+            r.proxy.descriptors.adopt(caller=False)
+            pool.take_over(Attempt(None, 0, 1, 0.0, Repeat.KEYED), own, 100, 0)
+            peer.sendall(reply(503, b"", b"X-Rejected: 1"))
+            await until(lambda: bool(sink.outcomes))
+            assert sink.outcomes == [Outcome.ERROR]
+            peer.close()
+
+    run(test)
