--- a/weldroute/connection_reuse.py
+++ b/weldroute/connection_reuse.py
@@ -7,7 +7,8 @@
   next request is already open, and is then taken for its answer. A wrong success is passed to a caller; a wrong
   rejection makes a request that is running look like one that never ran. So a connection rests after each answer
   until late input would have arrived, which ends the connection. Input that came late on any connection makes all
-  rest for longer. A request that must not run twice never uses such a connection: no rest is certain to be enough.
+  rest for longer. The cost: one server that writes to connections long idle makes all others get new ones. A request
+  that must not run twice never uses a connection that carried one before: no rest is certain to be enough.
 - Early closes: the server may close an idle connection before its announced time, and a request that crosses the
   close may have run. Once such losses are seen, requests that are not safe to repeat avoid connections as old.
 
