Connections rest only while a tenth of the descriptors is free

Traced by the new log lines: 'no descriptor for new connections: 180 of 180 in use', then 'a caller's connection ended: idle for too long'. Now a connection is closed after its answer when under a tenth of the descriptors is free.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -43,7 +43,7 @@
     ANSWER_BROKEN = "its answer broke"
     ATTEMPT_CANCELLED = "its attempt was cancelled"
     UNREAD_INPUT = "closed or written to by the backend before a request"
-    NOT_NEEDED = "another idle one is there"
+    NOT_NEEDED = "enough idle ones are there"
     IDLE_TIMEOUT = "idle for too long"
     BACKEND_CHANGED = "its backend drained, moved, restarted, went or was banned"
     BACKEND_SILENT = "its backend let an attempt time out"
@@ -688,9 +688,11 @@
     def keep_or_close(self, connection: BackendConnection, repeat: Repeat) -> None:
         """Keeps a connection after an answer to a request with this effect, or closes it if it isn't needed.
 
-        A class whose requests each open a connection would otherwise leave one behind for every request.
+        A class whose requests each open a connection would otherwise leave one behind for every request, and at a
+        high rate connections that rest would hold all descriptors.
         """
-        if connection.backend.idle and not self.reuse.may_reuse(repeat, first_attempt=True):
+        needed = not connection.backend.idle or self.reuse.may_reuse(repeat, first_attempt=True)
+        if not needed or not self._descriptors.allows_idle():
             self._busy.pop(connection, None)
             connection.close(CloseReason.NOT_NEEDED)
         else:
--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -9,6 +9,7 @@
 IDLE_PROCESS_MB = 28  # memory of an idle process, with a reserve
 IDLE_TWO_PROCESSES_MB = 44  # memory of two idle processes during a hot restart, with a reserve
 TIGHT_FRACTION = 0.8  # share of descriptors in use above which the old process makes room for its successor
+IDLE_FREE_FRACTION = 0.1  # share of descriptors that must be free for a further idle connection to be kept
 BACKEND_FRACTION = 0.25  # share of descriptors that callers can't use
 
 
@@ -51,6 +52,10 @@
         others = self.used_by_others()
         return others > 0 and self.used + others > TIGHT_FRACTION * self.limit
 
+    def allows_idle(self) -> bool:
+        """Whether a connection may stay open without a use, rather than be closed for others to open."""
+        return self.used + self.used_by_others() <= (1.0 - IDLE_FREE_FRACTION) * self.limit
+
     def acquire_caller(self) -> bool:
         """Acquires one for a connection that is about to be accepted; returns False if none is free."""
         if self.caller_count >= self.caller_limit or self._is_full():
--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -239,3 +239,18 @@
             peer.close()
 
     run(test)
+
+
+def test_resting_connections_leave_descriptors_for_callers() -> None:
+    """Guards against a proxy whose descriptors are all held by connections that rest, at a high rate of requests."""
+
+    async def test() -> None:
+        async with rig(serve_ok, settings=ONE_COPY, sockets=60) as r:
+            limit = r.proxy.descriptors.limit
+            caller = await r.caller()
+            for i in range(3 * limit):
+                assert (await caller.call(request_id=str(i)))[0] == 200
+                assert not r.proxy.callers.out_of_descriptors
+            assert r.proxy.descriptors.peak < limit
+
+    run(test)
