--- a/review/rig.py
+++ b/review/rig.py
@@ -203,6 +203,7 @@
         self.port = port
         self.name = name
         self.count = 0
+        self.body = b""  # of the last answer
         self.stopping = False
         self._connection: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
@@ -243,6 +244,7 @@
                 self._close()
                 if not kept or isinstance(error, TimeoutError):
                     break
+        self.body = body
         self.record.write(f"client got {status} to {call}: {body!r}")
         return status
 
