--- a/review/rig.py
+++ b/review/rig.py
@@ -273,12 +273,18 @@
 # ---- processes ---------------------------------------------------------------------------
 
 
+_given_out: set[int] = set()
+
+
 def free_port() -> int:
     """A free port below the kernel's range for outgoing connections."""
     for _ in range(100):
         port = random.randrange(20000, 32000)
+        if port in _given_out:
+            continue
         with socket.socket() as sock, contextlib.suppress(OSError):
             sock.bind(("127.0.0.1", port))
+            _given_out.add(port)
             return port
     raise CannotRun("no free port")
 
