The periodic report counts the bodies that are held back

A report is also written when nothing but such requests is there. Test: test_report_counts_the_bodies_that_are_held_back.

--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -199,12 +199,14 @@
     def pause_body(self) -> None:
         """Stops reading from the caller."""
         self._body_paused_at = self._callers.loop.time()
+        self._callers.on_body_paused(self)
         if self._transport is not None:
             self._transport.pause_reading()
 
     def resume_body(self) -> None:
         """Resumes reading from the caller."""
         self._body_paused_at = None
+        self._callers.on_body_resumed(self)
         self._last_read_at = self._callers.loop.time()
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
@@ -605,6 +607,7 @@
         self._accepting = False
         self._connections: dict[CallerConnection, None] = {}  # in order of arrival; a set has no stable order
         self._idle: dict[CallerConnection, None] = {}  # between requests, longest idle first
+        self._body_paused: dict[CallerConnection, None] = {}  # whose body is held back, the longest first
         self._evictable: dict[CallerConnection, None] = {}  # without a complete request, or lingering; oldest first
         self._tasks: set[asyncio.Task[None]] = set()
         descriptors.evict_caller = self._evict
@@ -727,6 +730,7 @@
             self.inflight.on_connection_closed(connection)
         self._idle.pop(connection, None)
         self._evictable.pop(connection, None)
+        self._body_paused.pop(connection, None)
         if connection in self._connections:
             del self._connections[connection]
             self._descriptors.release_caller()
@@ -756,6 +760,19 @@
             if self.inflight is not None and connection.journal_slot == -1:
                 self.inflight.on_connection_idle(connection)
 
+    def on_body_paused(self, connection: CallerConnection) -> None:
+        """Reading of a body is paused."""
+        self._body_paused[connection] = None
+
+    def on_body_resumed(self, connection: CallerConnection) -> None:
+        """Reading of a body goes on."""
+        self._body_paused.pop(connection, None)
+
+    @property
+    def paused_body_count(self) -> int:
+        """Number of connections whose body is held back."""
+        return len(self._body_paused)
+
     def on_lingering(self, connection: CallerConnection) -> None:
         """A connection lingers until its last answer is read."""
         self._evictable[connection] = None
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -378,15 +378,18 @@
         self.callers.sweep()
         if self.management is not None:
             self.management.sweep()
-        if self.loop.time() >= self._next_report_at and self.counters != self._reported_counters:
+        has_news = self.counters != self._reported_counters or self.callers.paused_body_count > 0
+        if self.loop.time() >= self._next_report_at and has_news:
             self._next_report_at = self.loop.time() + REPORT_INTERVAL
             increments = {name: n - self._reported_counters.get(name, 0) for name, n in self.counters.items()}
             busy, idle = self.backends.counts()
             log.info(
-                "%s; now: %d requests, %d callers, backends %d busy %d idle, descriptors peak %d, bodies peak %d kB",
-                ", ".join(f"{name} {n}" for name, n in sorted(increments.items()) if n),
+                "%s; now: %d requests, %d callers, %d bodies held back, backends %d busy %d idle, "
+                "descriptors peak %d, bodies peak %d kB",
+                ", ".join(f"{name} {n}" for name, n in sorted(increments.items()) if n) or "nothing new",
                 len(self._exchanges),
                 self.callers.count(),
+                self.callers.paused_body_count,
                 busy,
                 idle,
                 self.descriptors.peak,
--- a/tests/loopback/test_streaming.py
+++ b/tests/loopback/test_streaming.py
@@ -4,11 +4,12 @@
 
 import asyncio
 import hashlib
+import logging
 from random import Random
 from typing import Any
 
 import pytest
-from rig import PEER_TIMEOUT, Backend, Message, Reader, Writer, reply, request, rig, until
+from rig import PEER_TIMEOUT, Backend, Message, Reader, Writer, reply, request, rig, serve_ok, until
 from test_proxy import run
 
 from cometusher import backends as backends_module
@@ -221,6 +222,35 @@
     run(test)
 
 
+def test_report_counts_the_bodies_that_are_held_back(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Without the count, a request that waits for its backend can't be told from one whose caller is slow."""
+    monkeypatch.setattr("cometusher.proxy.REPORT_INTERVAL", 0.05)
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            hangs = asyncio.Event()
+
+            async def read_nothing(reader: Reader, writer: Writer) -> None:
+                await hangs.wait()
+                writer.transport.abort()
+
+            port = r.backends[0].port
+            await r.backends[0].stop()
+            r.backends[0]._server = await asyncio.start_server(read_nothing, "127.0.0.1", port, limit=2**16)
+            caller = await r.caller()
+            caller.writer.write(request(kind="submit", body=bytes(16 * 1024 * 1024)))
+            try:
+                await until(lambda: "1 bodies held back" in caplog.text)
+            finally:
+                hangs.set()
+            await until(lambda: r.proxy.callers.paused_body_count == 0)
+
+    with caplog.at_level(logging.INFO):
+        run(test)
+
+
 async def one_connection(script: Any) -> tuple[asyncio.Server, int]:
     server = await asyncio.start_server(script, "127.0.0.1", 0, limit=2**20)
     return server, server.sockets[0].getsockname()[1]
