A request's time runs while its body is held back

Cause: the deadline was set when the last byte was read. While the backend takes nothing, BodyStream pauses the caller, so that byte is never read, and a placeholder of an hour stays the deadline.

Change: weldroute/back_pressure.py adds up the time for which a body was held back; the last byte can be at most that much older than its read, so the sum counts against the budget, and one that uses it up ends the request with 503 (it never ran). Same cause, same commit: drains, the budget after a pause, callers that leave meanwhile, attempts that end with their last byte unwritten.

--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -53,8 +53,8 @@
     Mutant(
         "a time-out is reported as never ran",
         "proxy",
-        'self.on_attempt_ended(attempt, Outcome.TIMEOUT, None, f"no answer by',
-        'self.on_attempt_ended(attempt, Outcome.UNREACHABLE, None, f"no answer by',
+        "Outcome.UNREACHABLE if attempt.never_complete else Outcome.TIMEOUT",
+        "Outcome.UNREACHABLE",
     ),
     Mutant(
         "a status 500 is reported as never ran",
--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -112,6 +112,11 @@
         self.ended = False
         self.journal_index = -1  # its index in the journal's record of the request; -1 if it has none
 
+    @property
+    def never_complete(self) -> bool:
+        """Whether the last byte of a streamed request was not written; a backend runs a request only after it."""
+        return self.stream is not None and (self.connection is None or self.connection.request_incomplete)
+
 
 class Backend:
     """One backend: its address, start time and idle connections, the most recently used last."""
@@ -148,7 +153,7 @@
         self._answer_started_at = 0.0  # when the first byte of the answer arrived; 0 before
         self._streaming_answer = False
         self._reading_paused = False  # because the caller's write buffer is full
-        self._request_incomplete = False  # the last byte of the request is not written yet
+        self.request_incomplete = False  # the last byte of the request is not written yet
         self._write_blocked = False  # the write buffer towards the backend is full
         self.bytes_read = self.bytes_written = 0
         self.descriptor = -1
@@ -263,7 +268,7 @@
 
     def resume_writing(self) -> None:
         self._write_blocked = False
-        if self._request_incomplete and self.attempt is not None and self.attempt.stream is not None:
+        if self.request_incomplete and self.attempt is not None and self.attempt.stream is not None:
             self.attempt.stream.deliver()
 
     def can_accept(self) -> bool:
@@ -277,7 +282,7 @@
 
     def end_body(self) -> None:
         """Writes the end of the body."""
-        self._request_incomplete = False
+        self.request_incomplete = False
         if self.transport is not None and self.attempt is not None and self.attempt.chunked:
             self._write(LAST_CHUNK)
 
@@ -307,7 +312,7 @@
         self.bytes_written += len(data)
         self.transport.write(data)
         if attempt.stream is not None:
-            self._request_incomplete = True
+            self.request_incomplete = True
             attempt.stream.attach(self)
 
     def assign(self, attempt: Attempt) -> None:
@@ -338,7 +343,7 @@
     # ---- the answer ----------------------------------------------------------------------
 
     def _on_answered(self, attempt: Attempt, response: Response) -> None:
-        answered_early = self._request_incomplete
+        answered_early = self.request_incomplete
         self._release()
         outcome, reason = self._judge(attempt, response)
         if outcome is not Outcome.OK:
@@ -372,7 +377,7 @@
             if self.attempt.stream is not None:
                 self.attempt.stream.detach(self)
         self.attempt = None
-        self._streaming_answer = self._request_incomplete = False
+        self._streaming_answer = self.request_incomplete = False
         if self._reading_paused:
             self.set_reading_paused(False)
 
@@ -399,7 +404,7 @@
             idle_before = self.attempt_started_at - self.idle_since if self.use_count > 1 else 0.0
             self._pool.reuse.on_immediate_reset(self._pool.loop.time(), idle_before)
         response = self._parser.response
-        request_incomplete = self._request_incomplete
+        request_incomplete = self.request_incomplete
         reason = f"{reason} {self._elapsed()}"
         self._release()
         if response is not None and self._parser.head_done and response.status != 200:
@@ -430,6 +435,8 @@
         """Describes the progress of the attempt, for the log."""
         kind = "a used" if self.use_count > 1 else "a new"
         response = self._parser.response
+        if self.request_incomplete:
+            return f"its body was not complete on {kind} connection"
         if response is None or not self._parser.head_done:
             return f"no complete answer head on {kind} connection"
         return f"{response.received} of {response.length} bytes of an answer on {kind} connection"
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -23,6 +23,7 @@
 )
 from cometusher.runtime import Listener, Network
 from cometusher.stream import REPLAY_BYTES, BodyStream
+from weldroute.back_pressure import BodyDelay
 from weldroute.operations import ListenerState
 
 if TYPE_CHECKING:
@@ -71,6 +72,9 @@
     def on_body_complete(self) -> None:
         """The last byte of a streamed body has arrived."""
 
+    def on_body_paused(self) -> None:
+        """Reading of a streamed body was paused or resumed."""
+
     def on_answer_blocked(self, blocked: bool) -> None:
         """The caller's write buffer is full, or has room again."""
 
@@ -104,7 +108,7 @@
         self._linger_until = 0.0
         self._last_read_at = 0.0
         self._head_complete_at = 0.0  # of the request being read
-        self._body_paused_at: float | None = None  # when reading of a body was paused, None while it is not
+        self.body_delay = BodyDelay()  # of the body that is being streamed
         self._answer_chunked = False  # the streamed answer
         self._streaming_answer = False  # begin_answer was called, end_answer not yet
         self._unsent_bytes = 0  # size of the write buffer at the last check
@@ -148,6 +152,9 @@
         if self._closing:
             self._discard_input(len(data))
             return
+        if self.is_mid_request and self.disconnect_if_caller_left():
+            return  # otherwise a request might begin to run after its caller has left
+        self._begin_body_read()
         if self._request is None and not self.is_mid_request:
             # The first request's time counts from the accept; otherwise a caller could delay it without limit.
             if self.has_carried_request:
@@ -165,6 +172,7 @@
             log.exception("parsing a request failed")
             self.reject(Malformed(400, "unreadable"))
         else:
+            self._end_body_read()
             self._submit_request()
             if self.is_idle:
                 self._callers.on_idle(self)  # only line breaks arrived, or the request was answered at once
@@ -198,23 +206,51 @@
 
     def pause_body(self) -> None:
         """Stops reading from the caller."""
-        self._body_paused_at = self._callers.loop.time()
+        self.body_delay.pause(self._callers.loop.time())
         self._callers.on_body_paused(self)
         if self._transport is not None:
             self._transport.pause_reading()
+        if self._accepted is not None:
+            self._accepted.on_body_paused()
 
     def resume_body(self) -> None:
         """Resumes reading from the caller."""
-        self._body_paused_at = None
-        self._callers.on_body_resumed(self)
         self._last_read_at = self._callers.loop.time()
+        self.body_delay.resume(self._last_read_at, self._has_unread())
+        self._callers.on_body_resumed(self)
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
+        if self._accepted is not None:
+            self._accepted.on_body_paused()
 
-    @property
-    def body_paused_for(self) -> float:
-        """Seconds for which the last byte of the body may have been waiting, because reading is paused."""
-        return 0.0 if self._body_paused_at is None else self._callers.loop.time() - self._body_paused_at
+    def disconnect_if_caller_left(self) -> bool:
+        """Handles a caller that has left while its body is held back, which is not reported then."""
+        if self._request is None or not self.has_disconnected():
+            return False
+        self.disconnect()
+        return True
+
+    def _begin_body_read(self) -> None:
+        """The next part of a streamed body was read: what waited before it was held back until now."""
+        if self.body_delay.is_held:
+            self.body_delay.on_read(self._last_read_at)
+            if self._accepted is not None:
+                self._accepted.on_body_paused()
+
+    def _end_body_read(self) -> None:
+        """Notes whether a part of a streamed body was all that waited to be read."""
+        if self.body_delay.may_catch_up and self.is_mid_request:
+            if self._has_unread():
+                self.body_delay.on_left_unread()
+            else:
+                self.body_delay.on_emptied(self._last_read_at)
+
+    def _has_unread(self) -> bool:
+        if self._transport is None:
+            return False
+        if self._has_unread_data is None:
+            self._has_unread_data = self._callers.network.unread_check(self._transport)
+        return self._has_unread_data()
 
     # ---- reading -------------------------------------------------------------------------
 
@@ -259,6 +295,7 @@
             raise Malformed(503, "no memory for bodies")
         request.reserved_bytes = REPLAY_BYTES
         received, request.body = bytes(request.body), bytearray()
+        self.body_delay = BodyDelay()
         request.stream = BodyStream(self, received)
         self._on_first_request()
         self._complete_request = request
@@ -300,6 +337,8 @@
         accepted = self._callers.handler.handle_request(self, request)
         if self._request is request:
             self._accepted = accepted
+            if accepted is not None and request.stream is not None:
+                accepted.on_body_paused()  # it may have been paused meanwhile
 
     def _answer_malformed(self, error: Malformed) -> None:
         log.info("rejected a request: %d %s", error.status, error)
@@ -506,12 +545,8 @@
 
     def close_if_nothing_unread(self) -> bool:
         """Closes an idle connection unless it has unread input, which may be a complete request."""
-        transport = self._transport
-        if transport is not None:
-            if self._has_unread_data is None:
-                self._has_unread_data = self._callers.network.unread_check(transport)
-            if self._has_unread_data():
-                return False
+        if self._has_unread():
+            return False
         self.close(CallerCloseReason.IDLE)
         return True
 
@@ -543,8 +578,8 @@
                 transport.abort()
             self._unsent_bytes = unsent
         elif self._closing:
-            stalled = now > self._linger_until or now - self._last_read_at > BODY_STALL_TIMEOUT
-            if age > LINGER_TIMEOUT and stalled:
+            expired = now > self._linger_until or not self._callers.listener_state.keeps_incomplete
+            if age > LINGER_TIMEOUT and (expired or now - self._last_read_at > BODY_STALL_TIMEOUT):
                 transport.abort()
         elif self.is_idle:
             if age > (idle_timeout if self.has_carried_request else REQUEST_HEAD_TIMEOUT):
@@ -803,6 +838,8 @@
         now = self.loop.time()
         crowded = len(self._connections) > self._descriptors.caller_limit // 2
         idle_timeout = CROWDED_IDLE_TIMEOUT if crowded else IDLE_TIMEOUT
+        for connection in list(self._body_paused):
+            connection.disconnect_if_caller_left()
         for connection in list(self._connections):
             connection.enforce_timeouts(now, idle_timeout)
         # Otherwise a paused listener would wait for a descriptor that no connection releases by itself.
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -118,6 +118,7 @@
     """An accepted request with its attempts; it is owed exactly one final answer."""
 
     __slots__ = (
+        "accepted_at",
         "answer_stored_until",
         "answered",
         "attempts",
@@ -155,6 +156,7 @@
         self.request_id = request_id
         self.call_id = call_id
         self.deadline = deadline
+        self.accepted_at = proxy.clock.now()
         self.budget = 0.0  # seconds from the request's last byte that the caller allows
         self.streaming_attempt: Attempt | None = None  # the attempt whose answer is being streamed to the caller
         self.headers: Headers = []
@@ -170,12 +172,26 @@
         self.timer: asyncio.TimerHandle | None = None
         self.last_failure = ""  # how the last failed attempt ended, for the log
 
+    @property
+    def receives_body(self) -> bool:
+        """Whether the last byte of its body has not been read."""
+        stream = self.request.stream
+        return stream is not None and not stream.complete
+
+    @property
+    def budget_left(self) -> float:
+        """Seconds that are certainly left of its budget if the last byte of its body was read now."""
+        return self.budget - self.caller.body_delay.total(self.proxy.loop.time())
+
     def on_caller_left(self) -> None:
         self.proxy.on_caller_left(self)
 
     def on_body_complete(self) -> None:
         self.proxy.on_body_complete(self)
 
+    def on_body_paused(self) -> None:
+        self.proxy.on_body_paused(self)
+
     def on_body_consumed(self) -> None:
         self.proxy.on_body_consumed(self)
 
@@ -336,6 +352,8 @@
         max_budget = min(max(self._typical_budgets), DRAIN_MAX_BUDGET)
         if max_budget:
             self._latest_deadline = self.clock.now() + DRAIN_FULL_BUDGET_WINDOW + max_budget - DRAIN_ANSWER_MARGIN
+            for exchange in list(self._exchanges.values()):
+                self.on_body_paused(exchange)  # those that receive their body have no deadline yet
         if self._hot_restart is not None:
             self._hot_restart.on_stopping()
         if self.recovery is not None:
@@ -507,7 +525,7 @@
         self._typical_budgets[class_index] += (budget - typical) / 32.0 if typical else budget
         stream = request.stream
         body_incomplete = stream is not None and not stream.complete
-        deadline = now + INCOMING_BODY_TIMEOUT if body_incomplete else min(now + budget, self._latest_deadline)
+        deadline = min(now + (INCOMING_BODY_TIMEOUT if body_incomplete else budget), self._latest_deadline)
         if self.inflight is not None and self.inflight.unread_on_arrival and not body_incomplete:
             deadline -= self.inflight.unread_wait(caller)
         exchange = self._open_exchange(caller, request, class_index, budget, deadline)
@@ -657,11 +675,11 @@
         return self._exchanges.get(request_id)
 
     def on_body_complete(self, exchange: Exchange) -> None:
-        """The last byte of a streamed body has arrived; the request's budget counts from now."""
+        """The last byte of a streamed body was read: the budget counts from now, less what the body was held back."""
         if exchange.answered:
             return
         now = self.clock.now()
-        self._set_deadline(exchange, now, min(now + exchange.budget, self._latest_deadline))
+        self._set_deadline(exchange, now, min(now + exchange.budget_left, self._latest_deadline))
         if self.inflight is not None:
             self.inflight.on_body_received(exchange)
         for attempt in exchange.attempts:
@@ -671,6 +689,20 @@
             exchange, lambda now: self.balancer.on_body_complete(now, exchange.request_id, exchange.deadline)
         )
 
+    def on_body_paused(self, exchange: Exchange) -> None:
+        """Reading of a streamed body was paused or resumed, or the drain began: adjusts the request's deadline.
+
+        While this side does not read, the last byte may be waiting already, and the request's time runs; it is owed
+        an answer whether or not its backend ever takes the rest. While it reads, time depends on the caller alone.
+        """
+        if exchange.answered or not exchange.receives_body:
+            return
+        now = self.clock.now()
+        held = exchange.caller.body_delay.is_held
+        deadline = now + exchange.budget_left if held else exchange.accepted_at + INCOMING_BODY_TIMEOUT
+        self._set_deadline(exchange, now, min(deadline, self._latest_deadline))
+        self.balancer.set_deadline(exchange.request_id, exchange.deadline)
+
     def on_body_consumed(self, exchange: Exchange) -> None:
         """A part of the body was discarded: the request can't be sent again."""
         self.balancer.on_body_released(exchange.request_id)
@@ -744,10 +776,11 @@
             return
         for attempt in list(exchange.attempts):
             if not attempt.ended:
+                outcome = Outcome.UNREACHABLE if attempt.never_complete else Outcome.TIMEOUT
                 progress = self.backends.cancel(attempt)
                 # If the machine has vanished, its idle connections are dead too.
                 self.backends.drop_idle(attempt.server, CloseReason.BACKEND_SILENT)
-                self.on_attempt_ended(attempt, Outcome.TIMEOUT, None, f"no answer by the deadline: {progress}")
+                self.on_attempt_ended(attempt, outcome, None, f"no answer by the deadline: {progress}")
         if not exchange.answered:
             log.error("request %s was not answered by its deadline", loggable_id(exchange.call_id))
             self._abandon(exchange)
@@ -847,11 +880,9 @@
         exchange = attempt.owner
         assert isinstance(exchange, Exchange)
         request, stream = exchange.request, attempt.stream
-        if stream is not None and not stream.complete:
-            # The budget counts from the request's last byte, which may have come while reading was paused.
-            time_left = exchange.budget - exchange.caller.body_paused_for
-        else:
-            time_left = min(exchange.deadline, attempt.expires_at) - self.clock.now()
+        time_left = min(exchange.deadline, attempt.expires_at) - self.clock.now()
+        if exchange.receives_body:
+            time_left = min(time_left, exchange.budget_left)
         headers = [*exchange.headers, (b"x-budget", format_budget(max(0.0, time_left)))]
         if attempt.chunked:
             headers.append((b"transfer-encoding", b"chunked"))
--- a/tests/loopback/test_race_conditions.py
+++ b/tests/loopback/test_race_conditions.py
@@ -127,9 +127,10 @@
             call = asyncio.ensure_future(r.call(kind="submit", body=body, budget="5000m"))
             await connects.wait_started()
             exchange = next(iter(r.proxy._exchanges.values()))
-            await until(lambda: exchange.caller._body_paused_at is not None)
-            assert exchange.caller._body_paused_at is not None
-            exchange.caller._body_paused_at -= 1.5  # as if the reading had been paused for so long
+            delay = exchange.caller.body_delay
+            await until(lambda: delay._held_since is not None)
+            assert delay._held_since is not None
+            delay._held_since -= 1.5  # as if the reading had been paused for so long
             connects.release()
             assert (await call)[0] == 200
             assert int(r.seen[0].headers[b"x-budget"][:-1]) <= 3_500_000
--- a/tests/loopback/test_streaming.py
+++ b/tests/loopback/test_streaming.py
@@ -9,7 +9,7 @@
 from typing import Any
 
 import pytest
-from rig import PEER_TIMEOUT, Backend, Message, Reader, Writer, reply, request, rig, serve_ok, until
+from rig import PEER_TIMEOUT, Backend, Caller, Message, Reader, Rig, Writer, reply, request, rig, serve_ok, until
 from test_proxy import run
 
 from cometusher import backends as backends_module
@@ -251,6 +251,135 @@
         run(test)
 
 
+async def send_body_to(r: Rig, reads: Any, chunked: bool, budget: str, size: int = 16 * 1024 * 1024) -> Caller:
+    """Send a long body to a proxy whose only backend reads as `reads` does; returns once it is held back."""
+
+    async def serve(reader: Reader, writer: Writer) -> None:
+        try:
+            await reads(reader)
+        finally:
+            writer.transport.abort()
+
+    port = r.backends[0].port
+    await r.backends[0].stop()
+    r.backends[0]._server = await asyncio.start_server(serve, "127.0.0.1", port, limit=2**16)
+    caller = await r.caller()
+    if chunked:
+        head = request(kind="submit", budget=budget, extra=(b"Transfer-Encoding: chunked",))
+        caller.writer.write(head + (b"100000\r\n" + bytes(0x100000) + b"\r\n") * (size >> 20) + b"0\r\n\r\n")
+    else:
+        caller.writer.write(request(kind="submit", budget=budget, body=bytes(size)))
+    await until(lambda: r.proxy.callers.paused_body_count == 1)
+    return caller
+
+
+async def read_nothing(reader: Reader) -> None:
+    await asyncio.sleep(PEER_TIMEOUT)
+
+
+async def read_slowly(reader: Reader) -> None:
+    while await reader.read(32 * 1024):
+        await asyncio.sleep(0.02)
+
+
+LATE = 0.5  # seconds after its time within which an answer only earns nothing
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+@pytest.mark.parametrize("reads", [read_nothing, read_slowly])
+def test_long_request_is_answered_in_time_when_its_backend_does_not_read_it(reads: Any, chunked: bool) -> None:
+    """Guards against a request without an answer: its last byte waits unread, so its time never began (review/2)."""
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            caller = await send_body_to(r, reads, chunked, "700m")
+            async with asyncio.timeout(0.7 + LATE):
+                status, _ = await caller.answer()
+            assert status == 503  # it never ran
+            await until(lambda: r.proxy.open_requests == 0 and r.proxy.memory.used == 0)
+
+    run(test)
+
+
+def test_drain_ends_in_time_while_a_backend_hangs_in_a_long_request() -> None:
+    """Guards against a process that SIGTERM does not end, and a request that SIGKILL finds unanswered (review/2)."""
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            for number in range(20):  # so that the drain's end comes before that of the long request
+                await r.call(kind="submit", budget="300m", request_id=f"a{number}")
+            caller = await send_body_to(r, read_nothing, False, "3000m")
+            async with asyncio.timeout(0.7 + 3.0):
+                drained = asyncio.ensure_future(r.proxy.drain())
+                status, _ = await caller.answer()
+                assert status == 503
+                await drained
+
+    run(test)
+
+
+def test_slow_callers_body_is_ended_in_time_by_a_drain() -> None:
+    """Guards against an upload that keeps a draining process until it is killed: its caller never stops sending."""
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            await r.call(budget="1000m", request_id="a")
+            caller = await r.caller()
+            caller.writer.write(request(kind="submit", body=BODY)[:100_000])
+            await until(lambda: r.proxy.open_requests == 1)
+
+            async def keep_sending() -> None:
+                while True:
+                    caller.writer.write(b"x")
+                    await asyncio.sleep(0.05)
+
+            sending = asyncio.ensure_future(keep_sending())
+            async with asyncio.timeout(0.7 + 3.0):
+                drained = asyncio.ensure_future(r.proxy.drain())
+                assert (await caller.answer())[0] == 503
+                sending.cancel()
+                caller.abort()
+                await drained
+
+    run(test)
+
+
+def test_caller_that_leaves_while_its_body_is_held_back_is_noticed() -> None:
+    """Guards against a request that runs after its caller has left: while reading is paused, no end is reported."""
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            caller = await send_body_to(r, read_nothing, False, "8000m")
+            caller.abort()
+            await until(lambda: r.proxy.open_requests == 0)
+            assert r.proxy.backends.counts()[0] == 0 and r.proxy.memory.used == 0
+
+    run(test)
+
+
+def test_fast_upload_with_short_pauses_keeps_its_time() -> None:
+    """Guards against pauses that count although the caller was read up to its last byte since: see `BodyDelay`."""
+
+    async def test() -> None:
+        async with rig(answer_with_digest) as r:
+            caller = await r.caller()
+            head = request(kind="submit", budget="1000m", extra=(b"Content-Length: %d" % LARGE,))
+            caller.writer.write(head + BODY[:100_000])
+            await until(lambda: r.proxy.open_requests == 1)
+            connection = next(iter(r.proxy._exchanges.values())).caller
+            for position in range(100_000, LARGE, (LARGE - 100_000) // 8 + 1):
+                connection.pause_body()
+                await asyncio.sleep(0.2)
+                connection.resume_body()
+                for start in range(position, min(LARGE, position + (LARGE - 100_000) // 8 + 1), 4096):
+                    caller.writer.write(BODY[start : min(start + 4096, position + (LARGE - 100_000) // 8 + 1, LARGE)])
+                    await asyncio.sleep(0.001)
+            status, seen = await caller.answer()
+            assert (status, seen.body) == (200, DIGEST)
+
+    run(test)
+
+
 async def one_connection(script: Any) -> tuple[asyncio.Server, int]:
     server = await asyncio.start_server(script, "127.0.0.1", 0, limit=2**20)
     return server, server.sockets[0].getsockname()[1]
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -923,6 +923,12 @@
             self._schedule_copy(now, request, actions)
         return actions
 
+    def set_deadline(self, request_id: RequestId, deadline: float) -> None:
+        """Change a request's deadline: its time runs while its body is held back, and not while its caller sends."""
+        request = self.requests.get(request_id)
+        if request is not None:
+            request.deadline = deadline
+
     def on_body_released(self, request_id: RequestId) -> None:
         """Note that a part of a request's body was released, so that it can't be sent again."""
         request = self.requests.get(request_id)
