Every attempt is recorded, however many settings allow

Cause: a record held four attempts (MAX_ATTEMPTS, 'settings allow fewer', which nothing checked). record_attempt returned no index for the fifth, which was sent all the same; four attempts that never ran then proved that the request had never run. Evidence: the successor's log says 'send' and counts its own attempt as the fifth.

Change: a later attempt takes the record of one that a successor needs not know of. At most two attempts are open, so there always is one; if not, the request counts as one that may have run. The number of attempts is handed on and counts towards MaxAttempts. The ends of failed attempts are recorded, and what a successor has found out is copied.

--- a/cometusher/inflight/tracker.py
+++ b/cometusher/inflight/tracker.py
@@ -489,9 +489,10 @@
         self.journal.record_connection(caller.descriptor, caller.connection_id, 0, 0, BUSY)
         return UNCOVERED
 
-    def on_attempt_never_ran(self, attempt: Attempt, exchange: Exchange) -> None:
-        """An attempt has ended and has certainly not run. For other attempts their connections show what happened."""
-        self.journal.record_attempt_end(exchange.journal_slot, attempt.journal_index, AttemptEnd.NEVER_RAN)
+    def on_attempt_failed(self, attempt: Attempt, exchange: Exchange, never_ran: bool) -> None:
+        """An attempt has ended without an answer for the caller; `never_ran` says that it certainly did not run."""
+        end = AttemptEnd.NEVER_RAN if never_ran else AttemptEnd.MAYBE_RAN
+        self.journal.record_attempt_end(exchange.journal_slot, attempt.journal_index, end)
 
     def on_streaming(self, caller: CallerConnection) -> None:
         """A long answer is about to begin."""
@@ -578,6 +579,7 @@
             Origin(offer.process, offer.slot, offer.term),
             self._descriptor_of(offer.caller),
             [self._descriptor_of(offered) for offered in offer.attempts],
+            assessment.attempt_ends,
         )
         if self.on_stage is not None:
             self.on_stage("noted")
@@ -765,4 +767,4 @@
             refuses = self.action is TakeoverAction.REFUSE
             proxy.reject(Refuse(exchange.request_id, proxy.retry_after()) if refuses else Fail(exchange.request_id))
             return
-        proxy.resume_attempts(exchange, prior_attempts, self.joined_connections)
+        proxy.resume_attempts(exchange, prior_attempts, self.joined_connections, self.record.replaced_attempts)
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -606,10 +606,12 @@
         exchange: Exchange,
         prior_attempts: Sequence[PriorAttempt],
         connections: Sequence[TakenOverConnection | None],
+        replaced_attempts: int = 0,
     ) -> None:
         """Resumes a taken-over request after the attempts of the other process.
 
-        An attempt with a connection in `connections` goes on here; one without has ended.
+        An attempt with a connection in `connections` goes on here; one without has ended. `replaced_attempts` further
+        ones count, but nothing else of them is known.
         """
         for number, (prior, connection) in enumerate(zip(prior_attempts, connections, strict=True)):
             attempt = Attempt(exchange, number, prior.server, prior.sent, exchange.repeat, exchange.call_id)
@@ -625,7 +627,13 @@
             self._dispatch(
                 exchange,
                 lambda now: self.balancer.take_over(
-                    now, exchange.request_id, class_index, tenant, deadline, prior_attempts
+                    now,
+                    exchange.request_id,
+                    class_index,
+                    tenant,
+                    deadline,
+                    prior_attempts,
+                    replaced_attempts=replaced_attempts,
                 ),
             )
 
@@ -959,8 +967,8 @@
             server = self.balancer.servers.get(attempt.server)
             if server is not None:
                 self.traffic_counters.on_attempt_ended(server.row.zone, outcome, latency)
-        if self.inflight is not None and outcome in NEVER_RAN:
-            self.inflight.on_attempt_never_ran(attempt, exchange)
+        if self.inflight is not None and outcome is not Outcome.OK:
+            self.inflight.on_attempt_failed(attempt, exchange, outcome in NEVER_RAN)
         if self.recovery is not None:
             outcome = self.recovery.on_attempt_ended(attempt, outcome, response)
         if outcome is not Outcome.OK and outcome is not Outcome.CANCELLED:
--- a/tests/loopback/test_takeover_processes.py
+++ b/tests/loopback/test_takeover_processes.py
@@ -17,7 +17,7 @@
 from cometusher.fleet.control import send_request
 from cometusher.fleet.identity import read_stat
 from standins.caller import Caller
-from standins.messages import Message, Writer
+from standins.messages import Message, Writer, reply
 
 CLASSES = ("view", "submit", "once")
 
@@ -608,6 +608,58 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ("kind", "rejections", "max_attempts", "successor_dies"),
+    [
+        ("once", 4, 6, False),
+        ("once", 5, 6, True),
+        ("submit", 5, 6, False),
+        ("once", 8, 12, True),
+    ],
+)
+def test_request_that_runs_in_a_late_attempt_runs_once(
+    kind: str, rejections: int, max_attempts: int, successor_dies: bool
+) -> None:
+    """Guards against a second run: the attempt that ran had no record, so the request looked unsent (review/1)."""
+    turned_away: list[bytes] = []
+    runs: list[bytes] = []
+
+    async def test() -> None:
+        settings = {"Bounds": {"MaxAttempts": max_attempts, "SecondCopies": False}}
+        async with takeover_rig(4, backends=rejections + 2, settings=settings) as rig:
+            request_id, data = rig.message(kind, body=b"draft")
+
+            async def respond(seen: Message, writer: Writer, body: bytes) -> None:
+                if seen.headers[b"x-call-id"] != request_id:
+                    writer.write(reply(200, body))
+                elif len(turned_away) < rejections:
+                    turned_away.append(body)
+                    writer.write(reply(503, b"", b"X-Rejected: 1"))
+                else:
+                    runs.append(body)
+                    await rig.backends_may_answer.wait()
+                    writer.write(reply(200, body))
+
+            rig.respond = respond
+            caller = await rig.connect(0)
+            for _ in range(30):  # they earn the further attempts
+                caller.writer.write(rig.message("view")[1])
+                assert (await caller.answer())[0] == 200
+            rig.backends_may_answer.clear()
+            caller.writer.write(data)
+            await rig.wait_until(lambda: bool(runs), "it runs")
+            path = rig.signal_at("acts") if successor_dies else None
+            os.kill(await rig.pid_of(0), signal.SIGKILL)
+            await rig.wait_until(lambda: _has_adopted(rig, 2 if successor_dies else 1), "a successor")
+            assert path is None or not path.exists()
+            rig.backends_may_answer.set()
+            status, seen = await caller.answer()
+            assert (status, seen.body) == (200, runs[0])
+            assert (len(turned_away), len(runs)) == (rejections, 1)
+
+    run(test)
+
+
 def test_nothing_is_covered_without_a_takeover_table() -> None:
     async def test() -> None:
         async with takeover_rig(2, takeover=False) as rig:
--- a/tests/test_balancer.py
+++ b/tests/test_balancer.py
@@ -615,6 +615,13 @@
     assert action.server not in [prior.server for prior in prior_attempts]
 
 
+def test_attempts_without_a_record_count_towards_max_attempts() -> None:
+    """Guards against more attempts than settings allow: those of another process may be known by number only."""
+    prior = [PriorAttempt(1, 9.5)]
+    assert isinstance(make_successor().take_over(10.0, "r", 0, 0, 12.0, prior, replaced_attempts=1)[0], Send)
+    assert isinstance(make_successor().take_over(10.0, "r", 0, 0, 12.0, prior, replaced_attempts=2)[0], Refuse)
+
+
 def test_a_joined_attempt_counts_as_an_own_one() -> None:
     balancer = make_successor()
     prior_attempts = [PriorAttempt(2, 9.0, maybe_ran=False), PriorAttempt(3, 9.5, joined=True)]
--- a/tests/unit/test_request_journal.py
+++ b/tests/unit/test_request_journal.py
@@ -12,9 +12,12 @@
     BLOCK_SIZE,
     BUSY,
     CLOSED,
+    FIRST_ATTEMPT,
+    HEADER_CELLS,
     IDLE,
     MAX_ATTEMPTS,
     NONE,
+    RECORD_STRIDE,
     AttemptEnd,
     AttemptRecord,
     ConnectionRecord,
@@ -173,7 +176,73 @@
     handle = record_request(journal)
     indices = [record_attempt(journal, handle, attempt_record(server=i)) for i in range(MAX_ATTEMPTS + 1)]
     assert indices == [*range(MAX_ATTEMPTS), NONE]
-    assert [attempt.server for attempt in read_record(reader, handle).attempts] == list(range(MAX_ATTEMPTS))
+    record = read_record(reader, handle)
+    assert [attempt.server for attempt in record.attempts] == list(range(MAX_ATTEMPTS))
+    assert record.attempt_unrecorded, "all of them are open: the request may have run in the one without a record"
+    successor, successor_reader, _ = new_journal()
+    copy = read_record(successor_reader, successor.copy_record(record, Origin(7, handle, 2), 15, [NONE] * 4))
+    assert copy.attempt_unrecorded and copy.replaced_attempts == 1
+
+
+#: How an attempt ends, and whether a second copy is sent first.
+ATTEMPT_PLANS = st.lists(st.tuples(st.sampled_from([AttemptEnd.NEVER_RAN, AttemptEnd.MAYBE_RAN]), st.booleans()))
+
+
+@given(ATTEMPT_PLANS, st.integers(0, 9))
+@settings(max_examples=300, deadline=None)
+def test_any_number_of_attempts_leaves_what_a_successor_needs(
+    plan: list[tuple[AttemptEnd, bool]], closing: int
+) -> None:
+    """Guards against an attempt without a record, after which the request counts as never run (review/1).
+
+    However many attempts settings allow, the first that may have run and the open ones are on record, and all count.
+    """
+    journal, reader, _ = new_journal()
+    handle = record_request(journal)
+    ends: dict[int, AttemptEnd] = {}  # by server, in the order of the attempts
+    open_attempts: list[tuple[int, int]] = []  # server and index
+    for server, (end, second_copy) in enumerate(plan):
+        index = journal.record_attempt(handle, server, 1, 2, 11.5 + server, 5, 99, 50, 10, 20)
+        ends[server] = AttemptEnd.OPEN
+        open_attempts.append((server, index))
+        while len(open_attempts) > (1 if second_copy else 0):
+            ended, index = open_attempts.pop(closing % len(open_attempts))
+            ends[ended] = end
+            journal.record_attempt_end(handle, index, end)
+        record = read_record(reader, handle)
+        recorded = {attempt.server: attempt.end for attempt in record.attempts}
+        assert all(ends[found] is known for found, known in recorded.items())
+        assert list(recorded) == sorted(recorded) and not record.attempt_unrecorded
+        assert len(recorded) + record.replaced_attempts == server + 1
+        maybe_ran = [found for found, known in ends.items() if known is not AttemptEnd.NEVER_RAN]
+        assert maybe_ran[:1] == [found for found, known in recorded.items() if known is not AttemptEnd.NEVER_RAN][:1]
+        assert all(found in recorded for found, _ in open_attempts)
+
+
+def test_death_while_a_record_is_reused_leaves_an_attempt_that_may_have_run() -> None:
+    """Guards against a torn record: half of it is of the attempt before, which never ran."""
+    journal, reader, memory = new_journal()
+    handle = record_request(journal)
+    for server, end in enumerate([AttemptEnd.NEVER_RAN, AttemptEnd.MAYBE_RAN, *[AttemptEnd.NEVER_RAN] * 2]):
+        index = journal.record_attempt(handle, server, 1, 2, 11.5 + server, 5, 99, 50, 10, 20)
+        journal.record_attempt_end(handle, index, end)
+    before = bytes(memory)
+    journal.record_attempt(handle, 9, 1, 2, 20.0, 5, 99, 50, 10, 20)
+    after = bytes(memory)
+    changed = [
+        offset for offset in range(0, len(before), 8) if before[offset : offset + 8] != after[offset : offset + 8]
+    ]
+    attempt_cells = changed[:-1]  # the last is the count of attempts
+    assert len(attempt_cells) >= 3
+    for written in range(1, len(attempt_cells)):
+        memory[:] = before
+        journal.record_attempt_end(handle, 0, AttemptEnd.MAYBE_RAN)  # as in the moment before
+        offset_of_time = 8 * (HEADER_CELLS + RequestJournal.slot_of(handle) * RECORD_STRIDE + FIRST_ATTEMPT + 3)
+        for offset in {offset_of_time, *attempt_cells[:written]} - {offset_of_time + 8}:
+            memory[offset : offset + 8] = after[offset : offset + 8]
+        torn = read_record(reader, handle).attempts
+        assert torn[-1].sent_at == 20.0 and torn[-1].end is AttemptEnd.MAYBE_RAN
+        assert torn[0].server == 1, "the first that may have run stays the first"
 
 
 def test_connection_rows() -> None:
--- a/tests/unit/test_takeover.py
+++ b/tests/unit/test_takeover.py
@@ -158,6 +158,18 @@
     assert (prior.maybe_ran, prior.joined) == (maybe_ran, joinable)
 
 
+@pytest.mark.parametrize(
+    ("request_class", "action"),
+    [(SAFE, TakeoverAction.SEND), (KEYED, TakeoverAction.FAIL), (UNSAFE, TakeoverAction.FAIL)],
+)
+def test_attempt_without_a_record_may_have_run(request_class: RequestClass, action: TakeoverAction) -> None:
+    """Guards against a second run where nothing is known of an attempt (review/1), whatever the others show."""
+    joinable = PriorAttempt(1, 10.0, joined=True)
+    for attempts in ((), (PriorAttempt(1, 10.0, maybe_ran=False),), (joinable,)):
+        request = RequestAssessment(request_class, Stage.SENT, 20.0, attempts=attempts, attempt_unrecorded=True)
+        assert decide_takeover(request, 10.5)[0] is action
+
+
 def test_attempt_cannot_have_run_before_the_last_body_byte_arrived() -> None:
     assert assess_attempt(attempt_record(0), ConnectionCounters(5000, 500), body_received=False).maybe_ran is False
     assert assess_attempt(attempt_record(0), None, body_received=False).maybe_ran is False
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -543,6 +543,7 @@
         "queued",
         "queued_until",
         "receiving",
+        "replaced_attempts",
         "slot",
         "tenant",
     )
@@ -554,6 +555,7 @@
         self.arrived = now
         self.deadline = deadline
         self.attempts: list[Attempt] = []
+        self.replaced_attempts = 0  # made by another process, and not in `attempts`
         self.open = 0
         self.done = False
         self.slot = 0  # of admission control
@@ -873,14 +875,18 @@
         deadline: float,
         prior_attempts: Sequence[PriorAttempt],
         body_released: bool = False,
+        replaced_attempts: int = 0,
     ) -> list[Action]:
         """Continue a request that another process admitted and did not finish; its prior attempts count.
 
+        `replaced_attempts` is the number of further prior attempts, of which nothing else is known or needed.
+
         Attempts that are `joined` go on here; without one the request continues as after an attempt that ended. This
         takes nothing from the retry budget: the requests of a lost process are bounded, and no more load than before.
         """
         request = Request(request_id, class_index, tenant, now, deadline)
         request.counted, request.body_released = True, body_released
+        request.replaced_attempts = replaced_attempts
         self.requests[request_id] = request
         for prior in prior_attempts:
             server = self.servers.get(prior.server) or Server(
@@ -1123,7 +1129,7 @@
         limits = self.settings.limits
         if request.done or request.bound or request.body_released or now >= request.deadline:
             return False
-        if len(request.attempts) >= limits.max_attempts:
+        if len(request.attempts) + request.replaced_attempts >= limits.max_attempts:
             return False
         if request.open and (request.open > 1 or not limits.second_copies):
             return False
--- a/weldroute/request_journal.py
+++ b/weldroute/request_journal.py
@@ -35,7 +35,7 @@
 import struct
 import zlib
 from collections import deque
-from collections.abc import Collection, Iterator
+from collections.abc import Collection, Iterator, Sequence
 from dataclasses import dataclass, field
 from enum import IntEnum
 
@@ -48,8 +48,9 @@
 HEADER_CELLS = 8
 RECORD_CELLS = 64
 RECORD_STRIDE = RECORD_CELLS + 2 * INLINE_SIZE // 8  # cells from one record to the next
-MAX_ATTEMPTS = 4  # attempts that are recorded of one request; settings allow fewer
+MAX_ATTEMPTS = 4  # attempts that are recorded of one request at a time; see `RequestJournal.record_attempt`
 ATTEMPT_CELLS = 10
+ATTEMPT_SENT_AT, ATTEMPT_END = 3, 4  # cells of an attempt
 NONE, IN_RECORD = -1, -2  # in place of a block: nothing is stored; the bytes are in the record
 
 # Cells of a record: the attempts, the first of them last, then the rest. What is written in one call ends with the
@@ -92,8 +93,9 @@
 _ANSWER_LAYOUT = struct.Struct("<5q")  # BYTES_WRITTEN to STAGE
 _SLOT_MASK = 0xFFFF  # the part of a handle that is the slot; the rest is the serial
 
-# Flags: the whole body is stored; the connection closes after the answer; the last byte of the body has arrived.
-BODY_STORED, CLOSES_CONNECTION, BODY_RECEIVED = 1, 2, 4
+# Flags: the whole body is stored; the connection closes after the answer; the last byte of the body has arrived; an
+# attempt that may have run has no record.
+BODY_STORED, CLOSES_CONNECTION, BODY_RECEIVED, ATTEMPT_UNRECORDED = 1, 2, 4, 8
 _FLAGS_STORED, _FLAGS_STORED_CLOSES = BODY_STORED | BODY_RECEIVED, BODY_STORED | BODY_RECEIVED | CLOSES_CONNECTION
 NS_PER_SECOND = 1e9
 
@@ -158,10 +160,12 @@
     bytes_written: int  # to the caller before the answer
     answer_length: int  # bytes
     answer: bytes | None  # None where only its length was recorded
-    attempts: tuple[AttemptRecord, ...]
+    attempts: tuple[AttemptRecord, ...]  # in the order in which they were sent
     origin: Origin | None
     key: int = 0
     replay_until: float = 0.0  # seconds, of the machine's clock: until then the answer to a key may be replayed
+    replaced_attempts: int = 0  # earlier attempts whose records were reused; they matter only for their number
+    attempt_unrecorded: bool = False  # an attempt that may have run is in no record
 
 
 def digest_of(*parts: bytes | bytearray) -> int:
@@ -582,38 +586,67 @@
         bytes_read: int,
         end: AttemptEnd = AttemptEnd.OPEN,
     ) -> int:
-        """Record an attempt that is about to be written (see `AttemptRecord`); returns its index, or NONE."""
+        """Record an attempt that is about to be written (see `AttemptRecord`); returns its index, or NONE.
+
+        Settings may allow any number of attempts. From the fifth on, an attempt takes the record of one that a
+        successor needs not know of. If there is none, the request is marked as one that may have run.
+        """
         first_cell = self._record_cell(handle)
         if first_cell < 0:
             return NONE
         cells = self._cells
-        index = cells[first_cell + ATTEMPT_COUNT]
-        if index >= MAX_ATTEMPTS:
+        count = cells[first_cell + ATTEMPT_COUNT]
+        index = count if count < MAX_ATTEMPTS else self._replaceable_attempt(first_cell)
+        if index == NONE:
+            cells[first_cell + FLAGS] |= ATTEMPT_UNRECORDED
+            cells[first_cell + ATTEMPT_COUNT] = count + 1
             return NONE
+        attempt_cell = first_cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS
+        if count >= MAX_ATTEMPTS:
+            # If this process dies in between, what is read must be an attempt that came last and may have run.
+            cells[attempt_cell + ATTEMPT_SENT_AT] = int(sent_at * NS_PER_SECOND)
+            cells[attempt_cell + ATTEMPT_END] = AttemptEnd.MAYBE_RAN
         _ATTEMPT_LAYOUT.pack_into(
             self._memory,
-            8 * (first_cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS),
+            8 * attempt_cell,
             server,
             zone,
             cell,
             int(sent_at * NS_PER_SECOND),
-            end,
+            end if count < MAX_ATTEMPTS else AttemptEnd.MAYBE_RAN,
             descriptor,
             connection_id,
             request_length,
             bytes_written,
             bytes_read,
         )
-        cells[first_cell + ATTEMPT_COUNT] = index + 1
+        if count >= MAX_ATTEMPTS:
+            cells[attempt_cell + ATTEMPT_END] = end
+        cells[first_cell + ATTEMPT_COUNT] = count + 1
         if cells[first_cell + STAGE] == _RECEIVED:
             cells[first_cell + STAGE] = _SENT
         return index
 
+    def _replaceable_attempt(self, first_cell: int) -> int:
+        """The index of a recorded attempt that a successor needs not know of, or NONE.
+
+        Such an attempt never ran, or has ended and is not the first that may have run: that one decides where and
+        until when a keyed request may be repeated.
+        """
+        cells = self._cells
+        attempts = [first_cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS for index in range(MAX_ATTEMPTS)]
+        ends = [cells[attempt + ATTEMPT_END] for attempt in attempts]
+        if AttemptEnd.NEVER_RAN in ends:
+            return ends.index(AttemptEnd.NEVER_RAN)
+        first = min(range(MAX_ATTEMPTS), key=lambda index: cells[attempts[index] + ATTEMPT_SENT_AT])
+        ended = [index for index in range(MAX_ATTEMPTS) if index != first and ends[index] == AttemptEnd.MAYBE_RAN]
+        return ended[0] if ended else NONE
+
     def record_attempt_end(self, handle: int, index: int, end: AttemptEnd) -> None:
         """Record that an attempt has ended; its connection may carry others from here on."""
         cell = self._record_cell(handle)
         if cell >= 0 and index >= 0:
-            self._cells[cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS + 4] = end
+            self._cells[cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS + ATTEMPT_END] = end
 
     def record_answer_length(self, handle: int, bytes_written: int, length: int, closes_connection: bool) -> None:
         """Like `record_answer`, without the answer itself."""
@@ -651,9 +684,17 @@
         )
 
     def copy_record(
-        self, record: RequestRecord, origin: Origin, caller_descriptor: int, attempt_descriptors: list[int]
+        self,
+        record: RequestRecord,
+        origin: Origin,
+        caller_descriptor: int,
+        attempt_descriptors: list[int],
+        attempt_ends: Sequence[AttemptEnd] | None = None,
     ) -> int:
-        """Record a request of another journal with all that is known of it; descriptors are this process's own."""
+        """Record a request of another journal with all that is known of it; descriptors are this process's own.
+
+        `attempt_ends`: how the attempts ended, where more is known than the record says.
+        """
         handle = self.record_request(
             record.request,
             record.deadline,
@@ -670,7 +711,8 @@
         )
         if record.body_received and not record.body_stored:
             self.record_body_received(handle, record.deadline, record.bytes_read)
-        for attempt, descriptor in zip(record.attempts, attempt_descriptors, strict=True):
+        ends = [attempt.end for attempt in record.attempts] if attempt_ends is None else attempt_ends
+        for attempt, descriptor, end in zip(record.attempts, attempt_descriptors, ends, strict=True):
             self.record_attempt(
                 handle,
                 attempt.server,
@@ -682,8 +724,9 @@
                 attempt.request_length,
                 attempt.bytes_written,
                 attempt.bytes_read,
-                attempt.end,
+                end,
             )
+        self._copy_unrecorded(handle, record)
         if record.stage is Stage.STREAMING:
             self.record_streaming(handle)
         elif record.stage is Stage.ANSWERED:
@@ -695,6 +738,14 @@
                 )
         return handle
 
+    def _copy_unrecorded(self, handle: int, record: RequestRecord) -> None:
+        """Copy what is known of attempts without a record of their own."""
+        cell = self._record_cell(handle)
+        if cell >= 0:
+            self._cells[cell + ATTEMPT_COUNT] += record.replaced_attempts
+            if record.attempt_unrecorded:
+                self._cells[cell + FLAGS] |= ATTEMPT_UNRECORDED
+
     def record_connection(
         self, descriptor: int, connection_id: int, bytes_read: int, bytes_written: int, state: int
     ) -> None:
@@ -776,9 +827,15 @@
             return None
         stage = Stage(cells[cell + STAGE])
         answer = self._answer(cell) if stage is Stage.ANSWERED else None
+        attempt_count = cells[cell + ATTEMPT_COUNT]
         attempts = tuple(
-            self._attempt_at(cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS)
-            for index in range(min(cells[cell + ATTEMPT_COUNT], MAX_ATTEMPTS))
+            sorted(
+                (
+                    self._attempt_at(cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS)
+                    for index in range(min(attempt_count, MAX_ATTEMPTS))
+                ),
+                key=lambda attempt: attempt.sent_at,
+            )
         )
         origin = (
             Origin(*cells[cell + ORIGIN_PROCESS : cell + ORIGIN_TERM + 1]) if cells[cell + ORIGIN_PROCESS] else None
@@ -803,6 +860,8 @@
             origin,
             cells[cell + KEY_DIGEST],
             cells[cell + REPLAY_UNTIL] / NS_PER_SECOND if cells[cell + KEY_DIGEST] else 0.0,
+            max(0, attempt_count - MAX_ATTEMPTS),
+            bool(flags & ATTEMPT_UNRECORDED),
         )
 
     def _attempt_at(self, begin: int) -> AttemptRecord:
--- a/weldroute/takeover.py
+++ b/weldroute/takeover.py
@@ -118,11 +118,20 @@
     unsent: int = 0  # bytes of the recorded answer that have not been sent
     read_ahead: bool = False  # more bytes were read from the caller after this request
     attempts: tuple[PriorAttempt, ...] = ()
+    attempt_unrecorded: bool = False  # an attempt that is not among `attempts` may have run, or may be running
 
     @property
     def never_ran(self) -> bool:
         """Whether no backend can have run the request."""
-        return not any(attempt.maybe_ran for attempt in self.attempts)
+        return not self.attempt_unrecorded and not any(attempt.maybe_ran for attempt in self.attempts)
+
+    @property
+    def attempt_ends(self) -> list[AttemptEnd]:
+        """How the attempts ended; those that can be joined are open."""
+        return [
+            AttemptEnd.OPEN if attempt.joined else AttemptEnd.MAYBE_RAN if attempt.maybe_ran else AttemptEnd.NEVER_RAN
+            for attempt in self.attempts
+        ]
 
 
 def assess_attempt(
@@ -162,7 +171,15 @@
     )
     read_ahead = caller is not None and caller.read > record.bytes_read
     return RequestAssessment(
-        request_class, stage, record.deadline, record.body_stored, connected, unsent, read_ahead, prior_attempts
+        request_class,
+        stage,
+        record.deadline,
+        record.body_stored,
+        connected,
+        unsent,
+        read_ahead,
+        prior_attempts,
+        record.attempt_unrecorded,
     )
 
 
@@ -179,7 +196,7 @@
     if request.stage is Stage.STREAMING:
         return TakeoverAction.ABORT, "part of the answer is sent"
     time_left = request.deadline - now >= MIN_TIME_LEFT
-    if time_left and any(attempt.joined for attempt in request.attempts):
+    if time_left and not request.attempt_unrecorded and any(attempt.joined for attempt in request.attempts):
         return TakeoverAction.JOIN, "nothing of the backend's answer was read"
     if request.never_ran:
         if time_left and request.body_available:
@@ -201,7 +218,7 @@
     if repeat is Repeat.UNSAFE:
         return TakeoverAction.FAIL, "the request may have run"
     first_sent = min((attempt.sent for attempt in request.attempts if attempt.maybe_ran), default=-math.inf)
-    in_window = now - first_sent < WINDOW_MARGIN * request.request_class.window
+    in_window = not request.attempt_unrecorded and now - first_sent < WINDOW_MARGIN * request.request_class.window
     if time_left and request.body_available and in_window:
         return TakeoverAction.SEND_TO_GROUP, "the group of servers knows the key"
     reason = (
