--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -72,7 +72,7 @@
     def on_body_complete(self) -> None:
         """The last byte of a streamed body has arrived."""
 
-    def on_body_paused(self) -> None:
+    def on_body_flow_changed(self) -> None:
         """Reading of a streamed body was paused or resumed."""
 
     def on_answer_blocked(self, blocked: bool) -> None:
@@ -211,7 +211,7 @@
         if self._transport is not None:
             self._transport.pause_reading()
         if self._accepted is not None:
-            self._accepted.on_body_paused()
+            self._accepted.on_body_flow_changed()
 
     def resume_body(self) -> None:
         """Resumes reading from the caller."""
@@ -221,7 +221,7 @@
         if self._transport is not None and not self._transport.is_closing():
             self._transport.resume_reading()
         if self._accepted is not None:
-            self._accepted.on_body_paused()
+            self._accepted.on_body_flow_changed()
 
     def disconnect_if_caller_left(self) -> bool:
         """Handles a caller that has left while its body is held back, which is not reported then."""
@@ -235,7 +235,7 @@
         if self.body_delay.is_held:
             self.body_delay.on_read(self._last_read_at)
             if self._accepted is not None:
-                self._accepted.on_body_paused()
+                self._accepted.on_body_flow_changed()
 
     def _end_body_read(self) -> None:
         """Notes whether a part of a streamed body was all that waited to be read."""
@@ -338,7 +338,7 @@
         if self._request is request:
             self._accepted = accepted
             if accepted is not None and request.stream is not None:
-                accepted.on_body_paused()  # it may have been paused meanwhile
+                accepted.on_body_flow_changed()  # it may have been paused meanwhile
 
     def _answer_malformed(self, error: Malformed) -> None:
         log.info("rejected a request: %d %s", error.status, error)
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -189,8 +189,8 @@
     def on_body_complete(self) -> None:
         self.proxy.on_body_complete(self)
 
-    def on_body_paused(self) -> None:
-        self.proxy.on_body_paused(self)
+    def on_body_flow_changed(self) -> None:
+        self.proxy.on_body_flow_changed(self)
 
     def on_body_consumed(self) -> None:
         self.proxy.on_body_consumed(self)
@@ -353,7 +353,7 @@
         if max_budget:
             self._latest_deadline = self.clock.now() + DRAIN_FULL_BUDGET_WINDOW + max_budget - DRAIN_ANSWER_MARGIN
             for exchange in list(self._exchanges.values()):
-                self.on_body_paused(exchange)  # those that receive their body have no deadline yet
+                self.on_body_flow_changed(exchange)  # those that receive their body have no deadline yet
         if self._hot_restart is not None:
             self._hot_restart.on_stopping()
         if self.recovery is not None:
@@ -697,7 +697,7 @@
             exchange, lambda now: self.balancer.on_body_complete(now, exchange.request_id, exchange.deadline)
         )
 
-    def on_body_paused(self, exchange: Exchange) -> None:
+    def on_body_flow_changed(self, exchange: Exchange) -> None:
         """Reading of a streamed body was paused or resumed, or the drain began: adjusts the request's deadline.
 
         While this side does not read, the last byte may be waiting already, and the request's time runs; it is owed
