The index of keys holds a key for as long as its request is in flight

A row expired 60 s after its answer's time, 'longer than any deadline', but settings may name any: a second request of the same key then did not find the first one and went to a backend. No caller has reported it. The row outlasts both the deadline and the time of the answer now. test_key_is_found_as_long_as_its_request_is_in_flight failed before and passes.

--- a/cometusher/inflight/tracker.py
+++ b/cometusher/inflight/tracker.py
@@ -45,6 +45,7 @@
     decide_follow,
     decide_idle_connection,
     decide_takeover,
+    key_expiry,
 )
 
 if TYPE_CHECKING:
@@ -61,7 +62,6 @@
     40  # that must be free to receive an offer: BATCH_DESCRIPTORS of a message, and the spare ones
 )
 FOLLOW_INTERVAL = 0.005  # seconds between polls of a followed request
-KEY_MARGIN = 60.0  # seconds for which a key stays in the index beyond its answer's time: longer than any deadline
 MAX_FOLLOWERS = 256  # requests that wait for another of their key; further ones are sent to a backend
 EXPIRY_INTERVAL = 1.0  # seconds between checks of the retained answers
 WINDOW_MARGIN = 0.9  # part of a keyed class's window in which its answer is retained
@@ -383,7 +383,9 @@
         if exchange.journal_slot >= 0:
             channel = self._channel
             slot = self.journal.slot_of(exchange.journal_slot)
-            channel.keys.put(exchange.dedup_key, channel.number, slot, exchange.answer_stored_until + KEY_MARGIN, row)
+            deadline = self._proxy.clock.to_machine(exchange.deadline)
+            expires_at = key_expiry(deadline, exchange.answer_stored_until)
+            channel.keys.put(exchange.dedup_key, channel.number, slot, expires_at, row)
 
     def _progress(self, location: JournalLocation, key: int) -> Progress | None:
         try:
@@ -620,7 +622,8 @@
             or location == (offer.journal_number, offer.slot)
             or self._progress(location, record.key) is None
         ):
-            keys.put(record.key, self._channel.number, self.journal.slot_of(handle), now + KEY_MARGIN)
+            expires_at = key_expiry(record.deadline, record.replay_until)
+            keys.put(record.key, self._channel.number, self.journal.slot_of(handle), expires_at)
 
     @staticmethod
     def _descriptor_of(connection: Any | None) -> int:
--- a/weldroute/takeover.py
+++ b/weldroute/takeover.py
@@ -53,6 +53,7 @@
 
 AVOID_SECONDS = 0.5  # for which a successor that has not received its offers is offered nothing more
 MIN_TIME_LEFT = 0.05  # seconds: with less time left, an attempt of a successor cannot be answered in time
+KEY_MARGIN = 60.0  # seconds for which a key stays in the index after its request can be in flight or replayed
 WINDOW_MARGIN = 0.9  # part of a keyed class's window in which a successor sends
 OK_STATUS_PREFIX = b"HTTP/1.1 200 "
 
@@ -233,6 +234,11 @@
     return TakeoverAction.FAIL, f"the request may have run, and {reason}"
 
 
+def key_expiry(deadline: float, replay_until: float) -> float:
+    """Until when a key stays in the index (seconds, as both arguments): as long as its request may be of use."""
+    return max(deadline, replay_until) + KEY_MARGIN
+
+
 class FollowStep(Enum):
     """What a request that waits for another request of the same key does next."""
 
