The first ended attempt that may have run keeps its record

The one after it, which decides on group and window from then on, had lost its record meanwhile.

Change: an ended attempt is replaced only if an earlier ended one that may have run is on record.

--- a/tests/unit/test_request_journal.py
+++ b/tests/unit/test_request_journal.py
@@ -5,7 +5,7 @@
 from random import Random
 
 import pytest
-from hypothesis import given, settings
+from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
 from weldroute.request_journal import (
@@ -188,7 +188,17 @@
 ATTEMPT_PLANS = st.lists(st.tuples(st.sampled_from([AttemptEnd.NEVER_RAN, AttemptEnd.MAYBE_RAN]), st.booleans()))
 
 
+#: The first attempt that may have run is open for long, and turns out never to have run.
+FIRST_NEVER_RAN = [
+    *[(AttemptEnd.NEVER_RAN, False)] * 3,
+    (AttemptEnd.NEVER_RAN, True),
+    *[(AttemptEnd.MAYBE_RAN, True)] * 3,
+    (AttemptEnd.NEVER_RAN, False),
+]
+
+
 @given(ATTEMPT_PLANS, st.integers(0, 9))
+@example(FIRST_NEVER_RAN, 1)
 @settings(max_examples=300, deadline=None)
 def test_any_number_of_attempts_leaves_what_a_successor_needs(
     plan: list[tuple[AttemptEnd, bool]], closing: int
--- a/weldroute/request_journal.py
+++ b/weldroute/request_journal.py
@@ -630,17 +630,18 @@
     def _replaceable_attempt(self, first_cell: int) -> int:
         """The index of a recorded attempt that a successor needs not know of, or NONE.
 
-        Such an attempt never ran, or has ended and is not the first that may have run: that one decides where and
-        until when a keyed request may be repeated.
+        Such an attempt never ran, or has ended and is not the first of those that may have run and have ended: that
+        one may decide where and until when a keyed request may be repeated, also if an open one precedes it, as that
+        one may still turn out never to have run.
         """
         cells = self._cells
         attempts = [first_cell + FIRST_ATTEMPT - index * ATTEMPT_CELLS for index in range(MAX_ATTEMPTS)]
         ends = [cells[attempt + ATTEMPT_END] for attempt in attempts]
         if AttemptEnd.NEVER_RAN in ends:
             return ends.index(AttemptEnd.NEVER_RAN)
-        first = min(range(MAX_ATTEMPTS), key=lambda index: cells[attempts[index] + ATTEMPT_SENT_AT])
-        ended = [index for index in range(MAX_ATTEMPTS) if index != first and ends[index] == AttemptEnd.MAYBE_RAN]
-        return ended[0] if ended else NONE
+        ended = [index for index in range(MAX_ATTEMPTS) if ends[index] == AttemptEnd.MAYBE_RAN]
+        ended.sort(key=lambda index: cells[attempts[index] + ATTEMPT_SENT_AT])
+        return ended[1] if len(ended) > 1 else NONE
 
     def record_attempt_end(self, handle: int, index: int, end: AttemptEnd) -> None:
         """Record that an attempt has ended; its connection may carry others from here on."""
