--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -401,19 +401,8 @@
         self.process = subprocess.Popen(
             ["/bin/sh", "-c", command], cwd=ROOT, env=environ, stdout=self.log, stderr=self.log
         )
-        until = now() + ready_within
-        while now() < until:
-            if self.process.poll() is not None:
-                raise CouldNotRun(f"{self.name} ended with {self.process.returncode} at its start")
-            with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
-                client = await Client.connect(self.port)
-                answer = await asyncio.wait_for(client.send(b"GET /up HTTP/1.1\r\nHost: p\r\n\r\n"), 1.0)
-                client.close()
-                if answer.status == 200:
-                    self.record(f"proxy {self.name} is ready")
-                    return
-            await asyncio.sleep(0.05)
-        raise CouldNotRun(f"{self.name} is not ready after {ready_within} s")
+        await until_up(self.port, self.process, ready_within)
+        self.record(f"proxy {self.name} is ready")
 
     def signal(self, number: signal.Signals) -> None:
         assert self.process is not None
@@ -435,6 +424,86 @@
         self.log.close()
 
 
+async def until_up(port: int, process: subprocess.Popen[bytes], within: float = 30.0) -> None:
+    """Waits until `GET /up` answers 200."""
+    until = now() + within
+    while now() < until:
+        if process.poll() is not None:
+            raise CouldNotRun(f"a program ended with {process.returncode} at its start")
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, TimeoutError):
+            client = await Client.connect(port)
+            answer = await asyncio.wait_for(client.send(b"GET /up HTTP/1.1\r\nHost: p\r\n\r\n"), 1.0)
+            client.close()
+            if answer.status == 200:
+                return
+        await asyncio.sleep(0.05)
+    raise CouldNotRun(f"a program is not ready after {within} s")
+
+
+class Fleet:
+    """A supervisor with some instances, started with the `run` command of the deploy file and further arguments."""
+
+    def __init__(
+        self, folder: Path, record: Record, discovery: Discovery, values: dict[str, Any], tables: str
+    ) -> None:
+        self.record, self.folder = record, folder
+        self.file = folder / "fleet.toml"
+        self.ports: dict[str, int] = {}
+        self.pids: dict[str, int] = {}
+        (folder / "platform.json").write_text(json.dumps({"settings": values}))
+        self._text = f'[fleet]\nname = "kigali"\nstate = "state"\n{tables}\n[common]\nconfig = "platform.json"\n'
+        self._text += f'discovery = "127.0.0.1:{discovery.port}"\n'
+        self.log = (folder / "fleet.log").open("w")
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def _command(self, action: str) -> list[str]:
+        run = tomllib.loads((ROOT / "deploy" / "balancer.toml").read_text())["run"]
+        return ["/bin/sh", "-c", f"{run} fleet {action} -c {self.file}"]
+
+    def _environ(self, name: str) -> dict[str, str]:
+        temporary = self.folder / name
+        temporary.mkdir(exist_ok=True)
+        return {"PATH": os.environ.get("PATH", "/usr/bin:/bin"), "TMPDIR": str(temporary)}
+
+    async def start(self, names: list[str]) -> None:
+        for name in names:
+            self.ports[name] = free_port()
+            self._text += f'[[instance]]\nname = "{name}"\nlisten = "127.0.0.1:{self.ports[name]}"\n'
+        self.file.write_text(self._text)
+        FLEETS.append(self)
+        self.process = subprocess.Popen(
+            self._command("start"), cwd=ROOT, env=self._environ("tmp"), stdout=self.log, stderr=self.log
+        )
+        for name in names:
+            await until_up(self.ports[name], self.process)
+            self.record(f"instance {name} is ready")
+        status = await asyncio.create_subprocess_exec(
+            *self._command("status --json"), cwd=ROOT, env=self._environ("tmp-status"), stdout=subprocess.PIPE
+        )
+        output, _ = await status.communicate()
+        if status.returncode:
+            raise CouldNotRun("the fleet does not show its status")
+        self.pids = {row["name"]: row["pid"] for row in json.loads(output)["instances"]}
+
+    def kill(self, name: str) -> None:
+        self.record(f"instance {name} gets SIGKILL")
+        os.kill(self.pids.pop(name), signal.SIGKILL)
+
+    def end(self) -> None:
+        """Ends the supervisor, which ends its instances."""
+        if self.process is not None and self.process.poll() is None:
+            self.process.terminate()
+            try:
+                self.process.wait(10.0)
+            except subprocess.TimeoutExpired:
+                self.process.kill()
+                self.process.wait()
+                for pid in self.pids.values():
+                    with contextlib.suppress(OSError):
+                        os.kill(pid, signal.SIGKILL)
+        self.log.close()
+
+
 class Client:
     """A client's connection, with one request at a time."""
 
@@ -474,8 +543,8 @@
             print("the rule held" if held else "the rule was broken")
             return HELD if held else BROKEN
         finally:
-            for proxy in PROXIES:
-                proxy.end()
+            for program in (*PROXIES, *FLEETS):
+                program.end()
             if os.environ.get("KEEP"):
                 print(scratch)
             else:
@@ -487,6 +556,7 @@
 
 
 PROXIES: list[ProxyProcess] = []
+FLEETS: list[Fleet] = []
 
 
 async def start_proxy(
