--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,7 +1,8 @@
-"""An instance of a fleet with takeover is killed while backends run long requests that are unsafe to repeat.
+"""Two of five instances with takeover are killed while long requests wait at backends that then turn them away.
 
-Each client sends one document. It sends it again, as a new request with a new id, only if it was refused: a refusal
-tells it that trying again is harmless. The documents are 90 KB long.
+After a quiet start half of the backends are overloaded: each holds a request in its queue for a while and turns it
+away. The others run what they get. Clients write their request in two parts. Whatever happens, a backend that runs a
+request has to get its body.
 """
 
 from __future__ import annotations
@@ -9,77 +10,102 @@
 import asyncio
 from pathlib import Path
 
-from rig_2 import TROUBLE, Backend, Client, CouldNotRun, Discovery, Fleet, Record, main, now, settings
+from rig_2 import (
+    TROUBLE,
+    Backend,
+    Client,
+    CouldNotRun,
+    Discovery,
+    Fleet,
+    Received,
+    Record,
+    main,
+    now,
+    request_bytes,
+    settings,
+)
 
 FOLDER = Path(__file__).resolve().parent
-INSTANCES = 4  # one of four is killed; "as many as 44% of the proxies may die"
-CLIENTS = 10
-BODY = 90_000  # bytes
+INSTANCES, KILLED = 5, 2  # "as many as 44% of the proxies may die"
+OVERLOADED, SOUND = 8, 7  # backends
+WORK = 0.03  # seconds that a backend works on a request
+QUEUED = 0.4  # seconds that an overloaded backend holds a request before it turns it away
+CLIENTS = 80  # half of them at each instance that is killed
+BODY = 150_000  # bytes
 BUDGET = 2.4  # seconds
-WORK = 0.8  # seconds that a backend works on a request
+VIEWS = 40  # requests at each instance before
+KILLED_AT = 0.6  # seconds after the requests; their second attempts wait at backends then
 
 
-def request(call_id: str, document: str) -> bytes:
-    body = f"{document};".encode().ljust(BODY, b".")
-    lines = ["POST /api HTTP/1.1", "Host: backend.local", f"X-Call-Id: {call_id}", "X-Call-Class: submit"]
-    lines += ["X-Caller: univ-central", f"X-Budget: {BUDGET * 1000:.0f}m", f"Content-Length: {len(body)}"]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+async def case(scratch: Path, record: Record) -> bool:
+    overload = asyncio.Event()
 
+    async def turn_away(received: Received) -> None:
+        if not overload.is_set():
+            await asyncio.sleep(WORK)
+            await received.answer()
+            return
+        await asyncio.sleep(QUEUED)
+        record(f"backend {received.backend.host} turns {received.call_id} away, it has not run")
+        await received.answer(b"", "503 Service Unavailable", "X-Rejected: 1\r\n")
 
-async def case(scratch: Path, record: Record) -> bool:
-    backends = [Backend(f"s-5be2a0{number:02x}", record, work=WORK) for number in range(6)]
-    for backend in backends:
+    overloaded = [Backend(f"s-5be2a0{number:02x}", record, handler=turn_away) for number in range(OVERLOADED)]
+    sound = [Backend(f"s-7f13c0{number:02x}", record, work=WORK) for number in range(SOUND)]
+    for backend in overloaded + sound:
         await backend.start()
-    discovery = Discovery(record, backends)
+    discovery = Discovery(record, overloaded + sound)
     await discovery.start()
-    values = settings()
-    # For this customer a submission is unsafe to repeat.
-    values["Services"][1] = {"Name": "submit", "Aim": 1.0, "HardLimit": 2.5, "Repeat": "fragile", "Credit": 8.0}
-    fleet = Fleet(scratch, record, discovery, values, "[takeover]")
+    fleet = Fleet(scratch, record, discovery, settings(), "[takeover]")
     names = [f"intake-{number}" for number in range(INSTANCES)]
     await fleet.start(names)
     statuses: dict[str, int] = {}
 
-    async def send(call_id: str, document: str, name: str) -> int:
-        """Sends one request; returns its status, or 0 if no whole answer came."""
-        client = await Client.connect(fleet.ports[name])
-        record(f"client: {call_id} with {document} to {name}")
-        status = 0
+    async def submit(number: int) -> None:
+        call_id = f"c{number}"
+        data = request_bytes(call_id, BUDGET, keyed=True, body=f"{call_id};".encode().ljust(BODY, b"."))
+        client = await Client.connect(fleet.ports[names[number % KILLED]])
         try:
-            status = (await asyncio.wait_for(client.send(request(call_id, document)), BUDGET + 0.55)).status
+            client.writer.write(data[: BODY // 2])
+            await asyncio.sleep(0.03)
+            client.writer.write(data[BODY // 2 :])
+            statuses[call_id] = (await asyncio.wait_for(client.read(), BUDGET + 0.55)).status
+            record(f"client: {call_id} with {BODY} bytes gets {statuses[call_id]}")
         except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
             record(f"client: {call_id} has no answer: {error!r}")
         client.close()
-        record(f"client: {call_id} gets {status}")
-        statuses[call_id] = status
-        return status
 
-    async def submit(number: int) -> None:
-        document = f"document-{number}"
-        if await send(f"first-{number}", document, names[0]) in (429, 503):
-            await asyncio.sleep(0.2)
-            await send(f"again-{number}", document, names[1])
+    async def view(number: int, name: str) -> None:
+        client = await Client.connect(fleet.ports[name])
+        await client.send(request_bytes(f"{name}-{number}", BUDGET))
+        client.close()
 
+    for number in range(VIEWS):
+        await asyncio.gather(*(view(number, name) for name in names))
+    overload.set()
+    record(f"{OVERLOADED} backends are overloaded")
+    began = now()
     tasks = [asyncio.create_task(submit(number)) for number in range(CLIENTS)]
-    until = now() + 2.0
-    while sum(len(backend.runs) for backend in backends) < CLIENTS and now() < until:
-        await asyncio.sleep(0.01)
-    if not any(backend.runs for backend in backends):
-        raise CouldNotRun("no request runs")
-    await asyncio.sleep(0.2)
+    await asyncio.sleep(began + KILLED_AT - now())
     if TROUBLE:
-        fleet.kill(names[0])
+        for name in names[:KILLED]:
+            fleet.kill(name)
     await asyncio.gather(*tasks)
-    runs = [run for backend in backends for run in backend.runs]
-    refused = [run.call_id for run in runs if statuses.get(run.call_id) in (429, 503)]
-    documents = [run.message.body.split(b";")[0].decode() for run in runs]
-    twice = sorted({document for document in documents if documents.count(document) > 1})
-    for call_id in refused:
-        record(f"REFUSED, AND RAN: {call_id}")
-    for document in twice:
-        record(f"RAN TWICE: {document}")
-    record(f"{len(refused)} requests were refused and ran, {len(twice)} documents ran twice")
-    return not refused and not twice
+    if not statuses:
+        raise CouldNotRun("no request was answered")
+    wrong = [
+        run
+        for backend in sound
+        for run in backend.runs
+        if run.call_id in statuses and run.message.body != f"{run.call_id};".encode().ljust(BODY, b".")
+    ]
+    for run in wrong:
+        record(
+            f"RAN WITH ANOTHER BODY: {run.call_id} at {run.backend.host}, {len(run.message.body)} bytes of {BODY}; "
+            f"its client got {statuses.get(run.call_id)}"
+        )
+    served = sum(statuses.get(run.call_id) == 200 for run in wrong)
+    record(f"{len(wrong)} requests ran without the body that was sent, {served} of them were answered with 200")
+    return not wrong
 
 
 main(case, FOLDER)
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,88 +1,85 @@
-"""Clients that send X-Caller twice, again as soon as they are turned away: what the proxy needs must stay bounded.
+"""An instance of a fleet with takeover is killed while backends run long requests that are unsafe to repeat.
 
-The platform's part is that of the deployment page: it reads the memory of the process, and kills it over `memory_mb`.
-Only memory that the process has written to is counted, not the files that it maps.
+Each client sends one document. It sends it again, as a new request with a new id, only if it was refused: a refusal
+tells it that trying again is harmless. The documents are 66, 90 and 120 KB long.
 """
 
 from __future__ import annotations
 
 import asyncio
-import signal
 from pathlib import Path
 
-from rig_2 import TROUBLE, Backend, Client, CouldNotRun, Discovery, Record, main, now, request_bytes, start_proxy
+from rig_2 import TROUBLE, Backend, Client, CouldNotRun, Discovery, Fleet, Record, main, now, settings
 
 FOLDER = Path(__file__).resolve().parent
-MEMORY_MB = 128  # "32 to 192 MB by language and day"
-SENDERS = 24  # connections of the clients in question, one request at a time on each
-SECONDS = 90.0 if TROUBLE else 25.0
-COOKIE = "Cookie: obj=" + "7" * 12000  # a long head, within the 16 KiB that the proxy reads
+INSTANCES = 4  # one of four is killed; "as many as 44% of the proxies may die"
+CLIENTS = 12
+BODIES = 66_000, 90_000, 120_000  # bytes: above 64 KiB, and no more than one read takes
+BUDGET = 2.4  # seconds
+WORK = 0.8  # seconds that a backend works on a request
+
+
+def request(call_id: str, document: str) -> bytes:
+    body = f"{document};".encode().ljust(BODIES[int(document.split("-")[1]) % len(BODIES)], b".")
+    lines = ["POST /api HTTP/1.1", "Host: backend.local", f"X-Call-Id: {call_id}", "X-Call-Class: submit"]
+    lines += ["X-Caller: univ-central", f"X-Budget: {BUDGET * 1000:.0f}m", f"Content-Length: {len(body)}"]
+    return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 async def case(scratch: Path, record: Record) -> bool:
-    quiet = Record.silent()
-    backends = [Backend(f"s-5be2a0{number:02x}", quiet, work=0.005) for number in range(4)]
+    backends = [Backend(f"s-5be2a0{number:02x}", record, work=WORK) for number in range(6)]
     for backend in backends:
         await backend.start()
     discovery = Discovery(record, backends)
     await discovery.start()
-    proxy = await start_proxy(
-        scratch, record, discovery, limits={"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
-    )
-    counts = {"sent": 0, "answered": 0, "closed": 0, "sound sent": 0, "sound served": 0}
-    over = asyncio.Event()
+    values = settings()
+    # For this customer a submission is unsafe to repeat.
+    values["Services"][1] = {"Name": "submit", "Aim": 1.0, "HardLimit": 2.5, "Repeat": "fragile", "Credit": 8.0}
+    fleet = Fleet(scratch, record, discovery, values, "[takeover]")
+    names = [f"intake-{number}" for number in range(INSTANCES)]
+    await fleet.start(names)
+    statuses: dict[str, int] = {}
 
-    async def sender(number: int) -> None:
-        """Sends, reads what comes, and sends again as soon as it is answered or turned away."""
-        extra = ("X-Caller: poly-east", COOKIE) if TROUBLE else (COOKIE,)
-        while not over.is_set():
-            counts["sent"] += 1
-            call_id = f"t{number}-{counts['sent']}"
-            try:
-                client = await Client.connect(proxy.port)
-            except OSError:
-                await asyncio.sleep(0.1)
-                continue
-            try:
-                await client.send(request_bytes(call_id, 1.0, headers=extra))
-                counts["answered"] += 1
-            except (OSError, asyncio.IncompleteReadError):
-                counts["closed"] += 1
-            finally:
-                client.close()
+    async def send(call_id: str, document: str, name: str) -> int:
+        """Sends one request; returns its status, or 0 if no whole answer came."""
+        client = await Client.connect(fleet.ports[name])
+        record(f"client: {call_id} with {document} to {name}")
+        status = 0
+        try:
+            status = (await asyncio.wait_for(client.send(request(call_id, document)), BUDGET + 0.55)).status
+        except (OSError, asyncio.IncompleteReadError, TimeoutError) as error:
+            record(f"client: {call_id} has no answer: {error!r}")
+        client.close()
+        record(f"client: {call_id} gets {status}")
+        statuses[call_id] = status
+        return status
 
-    async def sound() -> None:
-        """A usual client beside them."""
-        while not over.is_set():
-            counts["sound sent"] += 1
-            try:
-                client = await Client.connect(proxy.port)
-                answer = await client.send(request_bytes(f"u{counts['sound sent']}", 3.0))
-                counts["sound served"] += answer.status == 200
-                client.close()
-            except (OSError, asyncio.IncompleteReadError):
-                pass
+    async def submit(number: int) -> None:
+        document = f"document-{number}"
+        if await send(f"first-{number}", document, names[0]) in (429, 503):
             await asyncio.sleep(0.2)
+            await send(f"again-{number}", document, names[1])
 
-    start_kb = proxy.memory_kb("RssAnon")
-    if not start_kb:
-        raise CouldNotRun("the memory of the process can't be read")
-    tasks = [asyncio.create_task(sender(number)) for number in range(SENDERS)] + [asyncio.create_task(sound())]
-    until, peak_kb, report_at = now() + SECONDS, start_kb, 0.0
-    while now() < until and peak_kb <= MEMORY_MB * 1024:
-        await asyncio.sleep(0.1)
-        peak_kb = max(peak_kb, proxy.memory_kb("RssAnon"))
-        if now() >= report_at:
-            report_at = now() + 2.0
-            record(f"memory {peak_kb} kB of {MEMORY_MB * 1024} kB; {counts}")
-    over.set()
-    held = peak_kb <= MEMORY_MB * 1024
-    record(f"memory rose from {start_kb} kB to {peak_kb} kB; the limit is {MEMORY_MB * 1024} kB; {counts}")
-    if not held:
-        record("the process is over its limit: the platform kills it")
-        proxy.signal(signal.SIGKILL)
+    tasks = [asyncio.create_task(submit(number)) for number in range(CLIENTS)]
+    until = now() + 2.0
+    while sum(len(backend.runs) for backend in backends) < CLIENTS and now() < until:
+        await asyncio.sleep(0.01)
+    if not any(backend.runs for backend in backends):
+        raise CouldNotRun("no request runs")
+    await asyncio.sleep(0.2)
+    if TROUBLE:
+        fleet.kill(names[0])
     await asyncio.gather(*tasks)
-    return held
+    runs = [run for backend in backends for run in backend.runs]
+    refused = [run.call_id for run in runs if statuses.get(run.call_id) in (429, 503)]
+    documents = [run.message.body.split(b";")[0].decode() for run in runs]
+    twice = sorted({document for document in documents if documents.count(document) > 1})
+    for call_id in refused:
+        record(f"REFUSED, AND RAN: {call_id}")
+    for document in twice:
+        record(f"RAN TWICE: {document}")
+    record(f"{len(refused)} requests were refused and ran, {len(twice)} documents ran twice")
+    return not refused and not twice
 
 
 main(case, FOLDER)
--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -259,7 +259,7 @@
                 call_id = message.headers.get("x-call-id", "")
                 received = Received(self, now(), call_id, float(told[:-1]) * scale, message, reader, writer)
                 self.runs.append(received)
-                self.record(f"backend {self.host} runs {call_id} told {received.budget:.3f} s", received.at)
+                self.record(f"backend {self.host} has all of {call_id}, told {received.budget:.3f} s", received.at)
                 if self.handler is not None:
                     await self.handler(received)
                 else:
