--- a/review/rig_2.py
+++ b/review/rig_2.py
@@ -532,9 +532,12 @@
         record = Record(folder)
         scratch = Path(tempfile.mkdtemp(prefix="case-"))
         record(f"trouble: {'yes' if TROUBLE else 'no'}")
+        task = asyncio.current_task()
+        assert task is not None
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             held = await asyncio.wait_for(case(scratch, record), limit)
-        except (CouldNotRun, TimeoutError, OSError) as error:
+        except (Exception, asyncio.CancelledError) as error:  # a fault of the script shows nothing either
             record(f"could not run: {error!r}")
             print(f"could not run: {error!r}")
             return COULD_NOT_RUN
