--- a/tests/test_breaker.py
+++ b/tests/test_breaker.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from weldroute.decide import Breaker
+from weldroute.breaker import Breaker
 
 
 def test_error_ratio_with_k_falling() -> None:
--- a/weldroute/__init__.py
+++ b/weldroute/__init__.py
@@ -1,6 +1,7 @@
 """Load-balancing decisions for services that call services: a sans-I/O library."""
 
-from weldroute.decide import Balancer, Breaker
+from weldroute.breaker import Breaker
+from weldroute.decide import Balancer
 from weldroute.model import (
     Action,
     Cancel,
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -5,9 +5,7 @@
 SRE book: each server has a breaker that refuses calls locally with the larger of an error ratio and a latency ratio,
 and of two random ready servers (power of two choices) the one with the lower latency x (in-flight + 1) is chosen.
 
-- `Breaker`: the drop probability for one server, one zone or the whole tier.
 - `AdmissionControl`: load shedding at the first tier, least valuable requests first.
-- `ServerPool`: the servers that are drawn from, and the subset of them in use.
 - `Balancer`: the events of one instance; servers, requests, retries, second copies and bans.
 """
 
@@ -18,6 +16,7 @@
 from collections.abc import Sequence
 from random import Random
 
+from weldroute.breaker import PROTECTED_REQUESTS, Breaker
 from weldroute.model import (
     NEVER_RAN,
     Action,
@@ -31,7 +30,6 @@
     Refuse,
     Repeat,
     RequestId,
-    Rules,
     Send,
     ServerId,
     ServerRow,
@@ -40,25 +38,16 @@
     Subscribe,
     Timer,
 )
+from weldroute.server import Server
+from weldroute.server_pool import ServerPool, ring_hash
 from weldroute.slow_start import (
     COLD_RATE_WINDOW,
     SmoothedRate,
-    WarmLoad,
     allowed_load,
     capacity_fraction,
     refill_credit,
 )
 
-BREAKER_WINDOW = 10.0  # seconds over which a server's error ratio is computed
-BUCKETS = 40  # of that window
-THROTTLE_K = 1.5  # K of adaptive throttling: requests allowed for each accepted one
-THROTTLE_K_MIN = 1.1  # K when every recent bucket failed
-PROTECTED_REQUESTS = 5  # requests in a window that never count against a server
-FORCED_PASS_INTERVAL = 1.0  # seconds between calls that pass whatever the drop probability
-LATENCY_ACTIVATION = 3.0  # multiple of the baseline latency above which the latency ratio is positive
-LATENCY_CEILING = 0.95  # fraction of the timeout at which the latency ratio reaches its cap
-LATENCY_DROP_CAP = 0.3  # largest latency ratio
-
 MAX_DRAWS = 8  # random draws for two candidates
 SEQUENTIAL_PROBES = 8  # servers checked one after the other when no random draw has found a candidate
 FAR_REDRAWS = 2  # further candidates from other zones, to replace those whose breakers refuse
@@ -71,7 +60,6 @@
 MAX_ATTEMPTS_PER_SERVER = 3  # of one request
 REPEAT_WINDOW_MARGIN = 0.9  # fraction of a keyed class's window within which repeats are sent
 
-LATENCY_STALE_AFTER = 5.0  # seconds of silence after which a server's latency counts half, the tier's the other half
 SUBSET_MIN = 10  # least servers of the active subset
 SUBSET_CALL_RATE = 0.7  # calls a second that each server of the active subset should receive
 CROSS_ZONE_PENALTY = 5.0  # latency added to a server of another zone: price x this x the class's aim
@@ -110,176 +98,6 @@
 SUBSCRIBE_TIMER, COPY_TIMER = 1, 2  # timer tokens
 
 
-def _mix_bits(number: int) -> int:
-    """Return a 32-bit hash of an identifier that is the same at every instance."""
-    number = (number ^ (number >> 16)) * 0x45D9F3B & 0xFFFFFFFF
-    number = (number ^ (number >> 16)) * 0x45D9F3B & 0xFFFFFFFF
-    return number ^ (number >> 16)
-
-
-class Breaker:
-    """Computes the probability of refusing a call locally: adaptive throttling by errors and by latency.
-
-    Keeps a sliding window of buckets for the error ratio, and two moving averages of the latency.
-    """
-
-    __slots__ = (
-        "_accepts",
-        "_bucket_width",
-        "_buckets",
-        "_failing_buckets",
-        "_requests",
-        "baseline",
-        "current",
-        "k",
-        "last_pass",
-    )
-
-    def __init__(self, window: float = BREAKER_WINDOW, k: float = THROTTLE_K) -> None:
-        self._bucket_width = window / BUCKETS
-        self.k = k
-        self._buckets: deque[list[float]] = deque()  # [bucket number, requests, accepts, failures]
-        self._failing_buckets = 0  # newest buckets in a row that have failures and no accepts
-        self._requests = 0.0
-        self._accepts = 0.0
-        self.baseline = self.current = 0.0  # seconds; the baseline rises slowly and falls fast
-        self.last_pass = float("-inf")
-
-    def _bucket_at(self, now: float) -> list[float]:
-        number = int(now / self._bucket_width)
-        buckets = self._buckets
-        if buckets and buckets[-1][0] >= number:
-            return buckets[-1]
-        self._expire(number)
-        bucket = [float(number), 0.0, 0.0, 0.0]
-        buckets.append(bucket)
-        return bucket
-
-    def _expire(self, number: int) -> None:
-        buckets = self._buckets
-        while buckets and buckets[0][0] <= number - BUCKETS:
-            expired = buckets.popleft()
-            self._requests -= expired[1]
-            self._accepts -= expired[2]
-        self._failing_buckets = min(self._failing_buckets, len(buckets))
-
-    def record_refusal(self, now: float) -> None:
-        """Count a call that was refused locally: a request that the server did not accept."""
-        self._bucket_at(now)[1] += 1
-        self._requests += 1
-
-    def record_success(self, now: float, weight: float = 1.0) -> None:
-        """Count an accepted call; `weight` below 1 counts it as accepted in part."""
-        bucket = self._bucket_at(now)
-        bucket[1] += 1
-        bucket[2] += weight
-        self._requests += 1
-        self._accepts += weight
-        self._failing_buckets = 0
-
-    def record_failure(self, now: float) -> None:
-        """Count an error, timeout, refusal by a full server or failed connection."""
-        bucket = self._bucket_at(now)
-        bucket[1] += 1
-        self._requests += 1
-        if not bucket[2] and not bucket[3]:
-            self._failing_buckets += 1
-        bucket[3] += 1
-
-    def record_latency(self, latency: float) -> None:
-        """Update both moving averages with the latency of a successful call."""
-        if self.current <= 0.0:
-            self.baseline = self.current = latency
-            return
-        weight = 4.0 if latency < self.baseline else 100.0
-        self.baseline += (latency - self.baseline) / weight
-        self.current += (latency - self.current) / 4.0
-
-    def error_ratio(self, now: float) -> float:
-        """Return the drop probability by errors (adaptive throttling, SRE book).
-
-        K falls from `k` to THROTTLE_K_MIN as the newest run of failing buckets grows.
-        """
-        self._expire(int(now / self._bucket_width))
-        k = self.k - (self.k - THROTTLE_K_MIN) * self._failing_buckets / BUCKETS
-        return max(0.0, (self._requests - PROTECTED_REQUESTS - k * self._accepts) / (self._requests + 1))
-
-    def latency_ratio(self, timeout: float) -> float:
-        """Return the drop probability for a current latency far above the baseline, capped.
-
-        `timeout` is in seconds; without a usable one the result is 0.
-        """
-        threshold = LATENCY_ACTIVATION * self.baseline
-        span = LATENCY_CEILING * timeout - threshold
-        if timeout <= 0.0 or threshold <= 0.0 or span <= 0.0:
-            return 0.0
-        return min(max((self.current - threshold) / span * LATENCY_DROP_CAP, 0.0), LATENCY_DROP_CAP)
-
-    def drop_probability(self, now: float, timeout: float) -> float:
-        """Return the larger of the error ratio and the latency ratio."""
-        return max(self.error_ratio(now), self.latency_ratio(timeout))
-
-    def refuses(self, now: float, timeout: float, rng: Random) -> bool:
-        """Decide whether to refuse this call; one call a second passes even while calls are dropped."""
-        chance = self.drop_probability(now, timeout)
-        if chance <= 0.0:
-            return False
-        if now - self.last_pass < FORCED_PASS_INTERVAL and rng.random() < chance:
-            self.record_refusal(now)
-            return True
-        self.last_pass = now
-        return False
-
-
-class Server:
-    """What an instance knows about one server of the next tier."""
-
-    __slots__ = ("answer_rate", "back", "breaker", "cold_credit", "cold_seen", "in_flight", "latency", "row", "seen")
-
-    def __init__(self, row: ServerRow) -> None:
-        self.row = row
-        self.breaker: Breaker | None = None  # created at the first call: most rows of a long list are never called
-        self.in_flight: dict[Attempt, None] = {}  # oldest first
-        self.latency = 0.0  # moving average in seconds, with failures counted as a timeout
-        self.seen = 0.0  # when the latency was last updated
-        self.cold_credit = 0.0  # calls that a cold server may receive now
-        self.cold_seen = 0.0  # when that credit was last refilled
-        self.answer_rate: SmoothedRate | None = None  # answers in time, while it is cold
-        self.back = 0.0  # end of the last ban, until discovery reports a start after that ban began
-
-    @property
-    def started(self) -> float:
-        """When its process started, as far as is known; 0 for a distant past."""
-        return max(self.row.started, self.back)
-
-    def cold_until(self, rules: Rules) -> float:
-        """Return when the server stops being cold; 0 if it started in a distant past."""
-        started = self.row.started if self.row.started > self.back else self.back
-        return started + rules.cold_for if started > 0.0 else 0.0
-
-    def update_latency(self, now: float, latency: float) -> None:
-        """Update the moving average that servers are scored by."""
-        self.latency += (latency - self.latency) / 4.0 if self.latency > 0.0 else latency
-        self.seen = now
-
-    def score(self, now: float, pooled: float) -> float:
-        """Return current latency x (in-flight + 1); lower is better. `pooled` is the latency of the tier.
-
-        The latency of a server that has not answered recently drifts to that of the tier, so that a recovered server
-        is tried again and an untried one ranks neither first nor last. Hung servers are avoided because an attempt
-        that has been in flight for longer than the current latency counts as a sample.
-        """
-        latency = pooled
-        if self.latency > 0.0:
-            own_weight = LATENCY_STALE_AFTER / (LATENCY_STALE_AFTER + now - self.seen)
-            latency += (self.latency - pooled) * own_weight
-        in_flight = self.in_flight
-        if not in_flight:
-            return latency
-        age = now - next(iter(in_flight)).sent
-        return max(latency, age) * (len(in_flight) + 1)
-
-
 class AdmissionControl:
     """Sheds load for the whole tier: a throttling ratio over all requests, spent on the least valuable ones.
 
@@ -575,33 +393,6 @@
         return None
 
 
-class ServerPool:
-    """Servers that candidates are drawn from: all ready ones in ring order, and the active subset of them."""
-
-    __slots__ = ("active", "next_warm_at", "ready", "warm_fraction", "warm_load")
-
-    def __init__(self, active: list[Server] | None = None) -> None:
-        self.ready: list[Server] = []
-        self.active = active or []
-        self.next_warm_at = float("inf")  # when the next cold server becomes warm
-        self.warm_fraction = 1.0  # of the active subset
-        self.warm_load = WarmLoad()
-
-    def resize(self, now: float, wanted: int, rules: Rules) -> None:
-        """Set the size of the active subset to about `wanted`; a size close to the current one is kept."""
-        current = len(self.active)
-        if current and current <= len(self.ready) and 0.7 * current <= wanted <= 1.4 * current:
-            wanted = current
-        self.active = self.ready[:wanted]
-        self.count_warm(now, rules)
-
-    def count_warm(self, now: float, rules: Rules) -> None:
-        """Recompute which fraction of the active subset is warm, and until when that holds."""
-        warm_at = [until for until in (server.cold_until(rules) for server in self.active) if until > now]
-        self.next_warm_at = min(warm_at, default=float("inf"))
-        self.warm_fraction = 1.0 - len(warm_at) / len(self.active) if self.active else 1.0
-
-
 class Balancer:
     """The decisions of one instance: a method for each event, which returns the actions to carry out in order."""
 
@@ -753,7 +544,7 @@
             self.zones.setdefault(server.row.zone, []).append(server)
             self.cells.setdefault(server.row.cell, []).append(server)
         # A ring in hashed order, the same at every instance; each instance starts at its own position.
-        ring = sorted(self.ready, key=lambda candidate: (_mix_bits(candidate.row.server), candidate.row.server))
+        ring = sorted(self.ready, key=lambda candidate: (ring_hash(candidate.row.server), candidate.row.server))
         settings = self.settings
         near, far = ring, []
         if settings.zones > 1 and settings.prices.cross_zone > 0.0:
--- a/weldroute/handover.py
+++ b/weldroute/handover.py
@@ -24,8 +24,10 @@
 from itertools import pairwise
 from typing import Any
 
-from weldroute.decide import BUCKETS, AdmissionControl, Balancer, Breaker, Server
+from weldroute.breaker import BUCKETS, Breaker
+from weldroute.decide import AdmissionControl, Balancer
 from weldroute.model import ServerId
+from weldroute.server import Server
 
 FORMAT_VERSION = 1
 MAX_LEARNED_AGE = 15.0  # seconds
