--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -30,6 +30,7 @@
 FIRST_BYTE_TIMEOUT = 3.0  # seconds from a request to the first byte of its response
 CONNECT_TIMEOUT = 1.0  # seconds
 BACKOFF_MIN, BACKOFF_MAX = 0.1, 1.0  # seconds between attempts where lists are pushed, before jitter of half as much
+ENTRIES_PER_TURN = 64  # entries applied without a return to the event loop, so that requests don't wait for them
 MAX_MESSAGE = 16 * 1024 * 1024  # bytes of one message over all of its lines
 
 _JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*+"')
@@ -285,14 +286,23 @@
                 if body.status and body.status != 200:
                     raise MalformedAnswer(f"status {body.status}")
                 messages, body.messages = body.messages, []
-                for message in messages:
-                    self._on_message(message)
+                await self._apply(messages)
                 if not data:
                     raise EOFError("closed by discovery")
         finally:
             writer.close()
 
-    def _on_message(self, message: bytes) -> None:
+    async def _apply(self, messages: Sequence[bytes]) -> None:
+        """Apply messages in order, with a return to the event loop after every ENTRIES_PER_TURN entries."""
+        applied = 0
+        for message in messages:
+            applied += max(1, self._on_message(message))
+            if applied >= ENTRIES_PER_TURN:
+                applied = 0
+                await asyncio.sleep(0)
+
+    def _on_message(self, message: bytes) -> int:
+        """Apply a message; return the number of its entries."""
         try:
             listing = parse_list(orjson.loads(message), self._zones)
         except orjson.JSONDecodeError as error:
@@ -306,3 +316,4 @@
         self._list_received = True
         self._on_change(ListKind.WHOLE if listing.whole else ListKind.PATCH, listing.entries)
         self.first_attempt_done.set()
+        return len(listing.entries)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from collections.abc import Sequence
+from itertools import pairwise
 from typing import Any
 
 import pytest
@@ -203,3 +205,26 @@
     item = {"host": "s-1", "dial": "127.0.0.1:1", "site": "b", "health": "on_fire", "born_ms": 1500, "block": 3}
     row = parse_entry(item, ("a", "b")).row
     assert (row.zone, row.cell, row.started, row.state) == (1, 3, 1.5, State.DRAINING)
+
+
+def test_requests_are_served_between_the_messages_of_one_read() -> None:
+    """Guards against a burst of changes that keeps the event loop from requests, deadlines and sockets."""
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            watch = await r.discovery.watch()
+            messages = 20 * discovery_module.ENTRIES_PER_TURN
+            turns: list[int] = []  # the version of the list that each turn of the event loop has seen
+
+            def count_turn() -> None:
+                turns.append(r.proxy.discovery.seq)
+                asyncio.get_running_loop().call_soon(count_turn)
+
+            count_turn()
+            lines = (json.dumps({"seq": 42 + n, "hosts": []}) for n in range(messages))
+            watch.send("\n".join(lines).encode() + b"\n")
+            await until(lambda: r.proxy.discovery.seq == 41 + messages)
+            applied = [after - before for before, after in pairwise(turns)]
+            assert max(applied) <= discovery_module.ENTRIES_PER_TURN
+
+    run(test)
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -39,7 +39,7 @@
     Timer,
 )
 from weldroute.server import Server
-from weldroute.server_pool import ServerPool, ring_hash
+from weldroute.server_pool import ServerPool, ServerRing
 from weldroute.slow_start import (
     COLD_RATE_WINDOW,
     SmoothedRate,
@@ -405,14 +405,20 @@
         # Servers not called since their ban ended, and when they are due.
         self.first_call_due: dict[ServerId, float] = {}
         self.past_bans: dict[ServerId, tuple[float, float]] = {}  # start and end of recent bans
-        self.ready: list[Server] = []
+        self._ready = ServerRing()
         # First attempts go to these servers if possible, while new connections are scarce.
         self.preferred: list[ServerId] | None = None
-        self.near_pool = ServerPool()  # the own zone where crossing zones has a price, else all servers
-        self.far_pool = ServerPool()  # the other zones, where crossing zones has a price
+        # Where crossing zones has a price, the servers of the own zone and the others have a pool each.
+        self._splits_zones = settings.zones > 1 and settings.prices.cross_zone > 0.0
+        # Multiples of the golden ratio are evenly spaced whichever instances share a zone.
+        zone_position = settings.me * 0.618033988749895 % 1.0
+        self.near_pool = ServerPool(
+            settings.rules, zone_position if self._splits_zones else settings.me / settings.balancers
+        )
+        self.far_pool = ServerPool(settings.rules, zone_position)  # empty where zones are not split
         self.resize_at = 0.0
-        self.zones: dict[int, list[Server]] = {}
-        self.cells: dict[int, list[Server]] = {}
+        self._zones: dict[int, ServerRing] = {}  # the ready servers of each zone
+        self._cells: dict[int, ServerRing] = {}  # the ready servers of each cell
         self.zone_breakers: dict[int, Breaker] = {}  # one per zone: whether it can be reached
         self.pooled = 0.0  # moving average of the tier's latency, seconds
         self.usual = 0.0  # its slow-rising baseline
@@ -456,36 +462,48 @@
             self.backoff = SUBSCRIBE_BACKOFF_MIN
         if list_kind is not ListKind.PATCH:
             listed = {row.server for row in rows}
-            for server in self.servers.values():
-                if server.row.server not in listed:
-                    server.row = ServerRow(server.row.server, State.GONE, server.row.zone, server.row.cell)
+            for server in [server for server_id, server in self.servers.items() if server_id not in listed]:
+                row = server.row
+                self._apply_row(now, ServerRow(row.server, State.GONE, row.zone, row.cell))
         for row in rows:
-            known = self.servers.get(row.server)
-            if known is None:
-                self.servers[row.server] = Server(row)
-                continue
-            if row.started > known.row.started:
-                known.breaker = None  # a new process: what was learned about the old one no longer holds
-                known.latency = 0.0
-                known.cold_credit = 0.0
-                known.answer_rate = None
+            self._apply_row(now, row)
+        self._resize_pools(now)
+        return []
+
+    def _apply_row(self, now: float, row: ServerRow) -> None:
+        """Apply a row of the list to the server that it describes, and to the pools."""
+        server = self.servers.get(row.server)
+        if server is None:
+            if row.state is State.GONE:
+                return
+            server = self.servers[row.server] = Server(row)
+        elif server.row == row and row.server not in self.past_bans:
+            return
+        else:
+            self._leave_pools(server)
+            if row.started > server.row.started:
+                server.forget_performance()  # a new process: what was learned about the old one no longer holds
             if row.state is State.GONE:
                 # Its zone and cell are kept: repeats of requests that it may have run go to its group.
-                row = ServerRow(row.server, State.GONE, known.row.zone, known.row.cell, started=row.started)
-            known.row = row
-        for row in rows:
-            self.apply_past_ban(now, row.server)
-        # The id of a replaced machine never comes back; keeping it would leak memory.
-        self.servers = {k: s for k, s in self.servers.items() if s.row.state is not State.GONE or s.in_flight}
-        self._rebuild_pools(now)
-        return []
+                row = ServerRow(row.server, State.GONE, server.row.zone, server.row.cell, started=row.started)
+            server.row = row
+            self._remove_if_gone(server)
+        self._apply_past_ban(now, server)
+        self._enter_pools(now, server)
+
+    def _remove_if_gone(self, server: Server) -> None:
+        """Remove a gone server once it has no attempts in flight: the id of a replaced machine never comes back."""
+        if server.row.state is not State.GONE or server.in_flight:
+            return
+        if self.servers.get(server.row.server) is server:
+            del self.servers[server.row.server]
 
     def ban(self, now: float, server_id: ServerId) -> list[Action]:
         """Send nothing to a server until `unban`, whatever the list says; ordered by operators."""
         self.past_bans.pop(server_id, None)
         self.first_call_due.pop(server_id, None)
-        if self.bans.setdefault(server_id, now) == now:
-            self._rebuild_pools(now)
+        self.bans.setdefault(server_id, now)
+        self.refresh_pools(now, server_id)
         return []
 
     def unban(self, now: float, server_id: ServerId) -> list[Action]:
@@ -510,54 +528,73 @@
             spread = UNBAN_SPREAD * max(1.0, self.settings.balancers / UNBAN_SPREAD_INSTANCES)
             self.first_call_due[server_id] = now + spread * self.rng.random()
             self.apply_past_ban(now, server_id)
-            self._rebuild_pools(now)
         return []
 
     def apply_past_ban(self, now: float, server_id: ServerId) -> None:
+        """Apply an entry of `past_bans` to its server."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            self._leave_pools(server)
+            self._apply_past_ban(now, server)
+            self._enter_pools(now, server)
+            self._resize_pools(now)
+
+    def _apply_past_ban(self, now: float, server: Server) -> None:
         """Treat a server as started at the end of its ban, until the list reports a start or it would be warm."""
-        if not self.past_bans:
-            return
-        ban_period, server = self.past_bans.get(server_id), self.servers.get(server_id)
-        if ban_period is None or server is None:
+        ban_period = self.past_bans.get(server.row.server)
+        if ban_period is None:
             return
         banned_at, unbanned_at = ban_period
         if server.row.started > banned_at or now > unbanned_at + self.settings.rules.cold_for:
             server.back = 0.0
-            del self.past_bans[server_id]
+            del self.past_bans[server.row.server]
         elif server.back != unbanned_at:
             server.back = unbanned_at
-            server.breaker = None
-            server.latency = 0.0
-            server.cold_credit = 0.0
-            server.answer_rate = None
+            server.forget_performance()
 
     def _is_available(self, server: Server) -> bool:
         """Whether requests may be sent to a server."""
         return server.row.state is State.UP and server.row.server not in self.bans
 
-    def _rebuild_pools(self, now: float) -> None:
-        """Rebuild the lists of ready servers; draining, banned and gone ones leave them at once."""
-        self.ready = [candidate for candidate in self.servers.values() if self._is_available(candidate)]
-        self.zones.clear()
-        self.cells.clear()
-        for server in self.ready:
-            self.zones.setdefault(server.row.zone, []).append(server)
-            self.cells.setdefault(server.row.cell, []).append(server)
-        # A ring in hashed order, the same at every instance; each instance starts at its own position.
-        ring = sorted(self.ready, key=lambda candidate: (ring_hash(candidate.row.server), candidate.row.server))
-        settings = self.settings
-        near, far = ring, []
-        if settings.zones > 1 and settings.prices.cross_zone > 0.0:
-            near = [candidate for candidate in ring if candidate.row.zone == settings.zone]
-            far = [candidate for candidate in ring if candidate.row.zone != settings.zone]
-        for pool, pool_ring in ((self.near_pool, near), (self.far_pool, far)):
-            # Multiples of the golden ratio are evenly spaced whichever instances share a zone.
-            position = (
-                settings.me / settings.balancers if pool_ring is ring else settings.me * 0.618033988749895 % 1.0
-            )
-            start = int(len(pool_ring) * position)
-            pool.ready = pool_ring[start:] + pool_ring[:start]
-        self._resize_pools(now)
+    @property
+    def ready(self) -> list[Server]:
+        """The servers that requests may be sent to, in ring order."""
+        return self._ready.servers
+
+    def refresh_pools(self, now: float, server_id: ServerId) -> None:
+        """Apply what has changed about a server other than its row: a ban, or the end of an earlier one."""
+        server = self.servers.get(server_id)
+        if server is not None:
+            self._leave_pools(server)
+            self._enter_pools(now, server)
+            self._resize_pools(now)
+
+    def _pool_of(self, server: Server) -> ServerPool:
+        is_near = not self._splits_zones or server.row.zone == self.settings.zone
+        return self.near_pool if is_near else self.far_pool
+
+    def _enter_pools(self, now: float, server: Server) -> None:
+        """Add a server to the pools if requests may be sent to it."""
+        if not self._is_available(server):
+            return
+        self._ready.add(server)
+        for groups, key in ((self._zones, server.row.zone), (self._cells, server.row.cell)):
+            group = groups.get(key)
+            if group is None:
+                group = groups[key] = ServerRing()
+            group.add(server)
+        self._pool_of(server).add(now, server)
+
+    def _leave_pools(self, server: Server) -> None:
+        """Remove a server from the pools, before its row changes; draining, banned and gone ones leave at once."""
+        if not self._ready.discard(server):
+            return
+        for groups, key in ((self._zones, server.row.zone), (self._cells, server.row.cell)):
+            group = groups[key]
+            group.discard(server)
+            if not group.servers:
+                del groups[key]
+        self._pool_of(server).discard(server)
 
     def _resize_pools(self, now: float) -> None:
         """Choose how many servers ordinary calls are spread over (deterministic subsetting).
@@ -568,8 +605,8 @@
         """
         self.resize_at = now + SUBSET_RESIZE_INTERVAL
         wanted = max(SUBSET_MIN, int(self.rate / SUBSET_CALL_RATE))
-        self.near_pool.resize(now, wanted, self.settings.rules)
-        self.far_pool.resize(now, wanted, self.settings.rules)
+        self.near_pool.resize(now, wanted)
+        self.far_pool.resize(now, wanted)
 
     def _skips_cold(self, now: float, server: Server, pool: ServerPool) -> bool:
         """Decide whether a cold server is passed over for this call.
@@ -819,7 +856,7 @@
         timeout = self.settings.classes[request.class_index].aim
         pools: tuple[ServerPool, ...]
         if allowed is not None:
-            pools = (ServerPool(allowed),) * 2
+            pools = (ServerPool(self.settings.rules, active=allowed),) * 2
         elif not self.near_pool.active or not self.far_pool.active:
             pools = (self.near_pool if self.near_pool.active else self.far_pool,) * 2
         else:
@@ -864,7 +901,7 @@
         """Add one more random ready server of a pool to the candidates (`chosen`), if there is one left."""
         rng, rules = self.rng, self.settings.rules
         if now >= pool.next_warm_at:
-            pool.count_warm(now, rules)
+            pool.count_warm(now)
         count = len(pool.active)
         index = 0
         for draw in range(MAX_DRAWS // 2 + SEQUENTIAL_PROBES if count else 0):
@@ -905,8 +942,10 @@
         if request_class.group is Group.ALL:
             return None
         if request_class.group is Group.ZONE:
-            return self.zones.get(first.server.row.zone, [])
-        return self.cells.get(first.server.row.cell, [])
+            group = self._zones.get(first.server.row.zone)
+        else:
+            group = self._cells.get(first.server.row.cell)
+        return group.servers if group is not None else []
 
     def _retry(self, now: float, request: Request, actions: list[Action]) -> bool:
         """Start a further attempt within the rules and the retry budget; return whether one was started."""
@@ -1019,6 +1058,7 @@
     def _record_outcome(self, now: float, attempt: Attempt, outcome: Outcome, latency: float, timeout: float) -> None:
         server = attempt.server
         server.in_flight.pop(attempt, None)
+        self._remove_if_gone(server)
         breaker = server.breaker
         if breaker is None or outcome in (Outcome.VOID, Outcome.REJECTED) or attempt.sent < server.started:
             return
--- a/weldroute/handover.py
+++ b/weldroute/handover.py
@@ -334,6 +334,7 @@
         if breaker_values is not None:
             server.breaker = Breaker()
             _restore_breaker(server.breaker, breaker_values)
+        balancer.refresh_pools(now, server.row.server)
     if admission is not None and admission_values is not None:
         _restore_breaker(admission.breaker, admission_values.pop("breaker"))
         for name, restored_value in admission_values.items():
--- a/weldroute/server.py
+++ b/weldroute/server.py
@@ -11,6 +11,16 @@
 LATENCY_STALE_AFTER = 5.0  # seconds of silence after which a server's latency counts half, the tier's the other half
 
 
+RingKey = tuple[int, int]  # a position in the ring: a hash, and the id that it is of
+
+
+def _ring_hash(number: int) -> int:
+    """Return a 32-bit hash of an identifier that is the same at every instance."""
+    number = (number ^ (number >> 16)) * 0x45D9F3B & 0xFFFFFFFF
+    number = (number ^ (number >> 16)) * 0x45D9F3B & 0xFFFFFFFF
+    return number ^ (number >> 16)
+
+
 class InFlightAttempt(Protocol):
     """An attempt that a server has not answered yet."""
 
@@ -22,10 +32,22 @@
 class Server:
     """What an instance knows about one server of the next tier."""
 
-    __slots__ = ("answer_rate", "back", "breaker", "cold_credit", "cold_seen", "in_flight", "latency", "row", "seen")
+    __slots__ = (
+        "answer_rate",
+        "back",
+        "breaker",
+        "cold_credit",
+        "cold_seen",
+        "in_flight",
+        "latency",
+        "ring_key",
+        "row",
+        "seen",
+    )
 
     def __init__(self, row: ServerRow) -> None:
         self.row = row
+        self.ring_key: RingKey = (_ring_hash(row.server), row.server)
         self.breaker: Breaker | None = None  # created at the first call: most rows of a long list are never called
         self.in_flight: dict[InFlightAttempt, None] = {}  # oldest first
         self.latency = 0.0  # moving average in seconds, with failures counted as a timeout
@@ -45,6 +67,13 @@
         started = self.row.started if self.row.started > self.back else self.back
         return started + rules.cold_for if started > 0.0 else 0.0
 
+    def forget_performance(self) -> None:
+        """Discard what was learned about a process that has ended."""
+        self.breaker = None
+        self.latency = 0.0
+        self.cold_credit = 0.0
+        self.answer_rate = None
+
     def update_latency(self, now: float, latency: float) -> None:
         """Update the moving average that servers are scored by."""
         self.latency += (latency - self.latency) / 4.0 if self.latency > 0.0 else latency
