A request is entered in the proxy's tables only after all of its headers are read

request_terms.py reads all headers first. An exception while a request is accepted, or while its answer is written, ends the request and removes it.

--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -334,7 +334,12 @@
         if request is None:
             return
         self._request = request
-        accepted = self._callers.handler.handle_request(self, request)
+        try:
+            accepted = self._callers.handler.handle_request(self, request)
+        except Exception:
+            log.exception("handling a request failed")
+            self.reject(Malformed(500, "internal error"))
+            return
         if self._request is request:
             self._accepted = accepted
             if accepted is not None and request.stream is not None:
--- a/cometusher/inflight/tracker.py
+++ b/cometusher/inflight/tracker.py
@@ -558,7 +558,7 @@
         ):
             return False
         try:
-            class_index, _ = proxy.validate(request)
+            terms = proxy.validate(request)
         except Malformed as error:
             log.warning("declined to take a request over: %s", error)
             return False
@@ -571,7 +571,8 @@
             self._network.read_counters(connection, attempt.connection_id, True) if connection is not None else None
             for attempt, connection in zip(record.attempts, offer.attempts, strict=True)
         ]
-        assessment = assess(record, proxy.config.settings.classes[class_index], caller_counters, attempt_counters)
+        request_class = proxy.config.settings.classes[terms.class_index]
+        assessment = assess(record, request_class, caller_counters, attempt_counters)
         action, reason = decide_takeover(assessment, self._network.monotonic())
         if not proxy.memory.reserve(len(request.body)):
             return False
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -35,9 +35,9 @@
     Response,
     end_to_end,
     format_budget,
-    parse_budget,
     request_head,
 )
+from cometusher.request_terms import RequestTerms, RequestTermsReader
 from cometusher.runtime import Network, SocketNetwork
 from weldroute import (
     Action,
@@ -125,7 +125,6 @@
         "budget",
         "call_id",
         "caller",
-        "class_index",
         "deadline",
         "dedup_key",
         "headers",
@@ -138,6 +137,7 @@
         "request",
         "request_id",
         "streaming_attempt",
+        "terms",
         "timer",
     )
 
@@ -147,14 +147,15 @@
         caller: CallerConnection,
         request: Request,
         request_id: str,
-        call_id: bytes,
+        terms: RequestTerms,
         deadline: float,
     ) -> None:
         self.proxy = proxy
         self.caller = caller
         self.request = request
         self.request_id = request_id
-        self.call_id = call_id
+        self.terms = terms
+        self.call_id = terms.call_id
         self.deadline = deadline
         self.accepted_at = proxy.clock.now()
         self.budget = 0.0  # seconds from the request's last byte that the caller allows
@@ -164,7 +165,6 @@
         self.attempts: list[Attempt] = []
         self.open_attempts = 0
         self.journal_slot = -1  # its slot in the request journal; -1 while it has none
-        self.class_index = 0  # set only for a request that was taken over from another process
         self.dedup_key = 0  # identifies requests with the same idempotency key; 0 if there is none
         self.answer_stored_until = 0.0  # when its stored answer expires, by the machine's clock
         self.open_id_slot = 0  # where other processes of this proxy see that its call id is open
@@ -234,8 +234,7 @@
         )
         self.balancer = Balancer(settings, config.seed)
         self._rng = Random(config.seed + 1)  # for the proxy's own jitter; the balancer's sequence stays reproducible
-        self._class_indices = {request_class.name.encode(): i for i, request_class in enumerate(settings.classes)}
-        self._tenant_indices = {tenant.name.encode(): i for i, tenant in enumerate(settings.tenants)}
+        self._terms_reader = RequestTermsReader(settings)
         self._exchanges: dict[str, Exchange] = {}
         self._open_ids: set[bytes] = set()  # X-Call-Id of every open exchange
         self._typical_budgets = [0.0 for _ in settings.classes]  # smoothed seconds that callers allow, by class
@@ -512,77 +511,73 @@
             self._answer_readiness(caller)
             return None
         try:
-            class_index, budget = self.validate(request)
+            terms = self.validate(request)
         except Malformed as error:
             self._increment("malformed")
             caller.reject(error)
             return None
         now = self.clock.now()
-        max_budget = self.config.settings.classes[class_index].deadline
-        budget = max_budget if budget is None else min(budget, max_budget)
-        typical = self._typical_budgets[class_index]
+        max_budget = self.config.settings.classes[terms.class_index].deadline
+        budget = max_budget if terms.budget is None else min(terms.budget, max_budget)
+        typical = self._typical_budgets[terms.class_index]
         # Smoothed, so that one caller with a long budget can't delay a drain for all.
-        self._typical_budgets[class_index] += (budget - typical) / 32.0 if typical else budget
+        self._typical_budgets[terms.class_index] += (budget - typical) / 32.0 if typical else budget
         stream = request.stream
         body_incomplete = stream is not None and not stream.complete
         deadline = min(now + (INCOMING_BODY_TIMEOUT if body_incomplete else budget), self._latest_deadline)
         if self.inflight is not None and self.inflight.unread_on_arrival and not body_incomplete:
             deadline -= self.inflight.unread_wait(caller)
-        exchange = self._open_exchange(caller, request, class_index, budget, deadline)
+        exchange = self._open_exchange(caller, request, terms, budget, deadline)
         if stream is not None:
             stream.on_consumed = exchange.on_body_consumed
-        tenant = self._tenant_indices.get(request.header(b"x-caller") or b"", len(self._tenant_indices))
-        if self.inflight is not None:
-            self._accept_journaled(self.inflight, exchange, class_index, tenant, body_incomplete)
-        elif self.recovery is not None:
-            self._submit_paced(exchange, class_index, tenant, body_incomplete)
-        else:
-            self._submit(exchange, class_index, tenant, body_incomplete)
+        try:
+            if self.inflight is not None:
+                self._accept_journaled(self.inflight, exchange, body_incomplete)
+            else:
+                self._submit_paced(exchange, body_incomplete)
+        except Exception:
+            # From here on nothing but the exchange's own end would remove it.
+            log.exception("accepting request %s failed", loggable_id(exchange.call_id))
+            self._abandon(exchange)
         return exchange
 
-    def _accept_journaled(
-        self, tracker: InflightTracker, exchange: Exchange, class_index: int, tenant: int, body_incomplete: bool
-    ) -> None:
+    def _accept_journaled(self, tracker: InflightTracker, exchange: Exchange, body_incomplete: bool) -> None:
         """Submits a request that is recorded in the journal, at the latest when it begins to wait."""
-        request_class = self.config.settings.classes[class_index]
+        request_class = self.config.settings.classes[exchange.terms.class_index]
         keyed = request_class.repeat is Repeat.KEYED and exchange.request.stream is None
         free_position = -1
         if keyed:
             position, free_position = tracker.find_same_key(exchange, request_class)
             if position is not None and tracker.follow(
-                exchange, position, lambda: self._submit_paced(exchange, class_index, tenant, body_incomplete)
+                exchange, position, lambda: self._submit_paced(exchange, body_incomplete)
             ):
                 return
-        self._submit_paced(exchange, class_index, tenant, body_incomplete)
+        self._submit_paced(exchange, body_incomplete)
         if exchange.journal_slot == -1 and not exchange.answered:
             tracker.record_waiting(exchange)
         if keyed and position is None:
             tracker.publish_key(exchange, free_position)
 
-    def _submit_paced(self, exchange: Exchange, class_index: int, tenant: int, body_incomplete: bool) -> None:
+    def _submit_paced(self, exchange: Exchange, body_incomplete: bool) -> None:
         """Submits a request; during recovery after a restart, a complete one is submitted at the recovery's pace."""
         if self.recovery is None or body_incomplete:
-            self._submit(exchange, class_index, tenant, body_incomplete)
+            self._submit(exchange, body_incomplete)
         else:
-            self.recovery.admit(exchange, class_index, lambda: self._submit(exchange, class_index, tenant, False))
-
-    def _tenant_index(self, request: Request) -> int:
-        return self._tenant_indices.get(request.header(b"x-caller") or b"", len(self._tenant_indices))
+            self.recovery.admit(exchange, exchange.terms.class_index, lambda: self._submit(exchange, False))
 
     def _open_exchange(
-        self, caller: CallerConnection, request: Request, class_index: int, budget: float, deadline: float
+        self, caller: CallerConnection, request: Request, terms: RequestTerms, budget: float, deadline: float
     ) -> Exchange:
         """Registers a request as in flight until it is answered, by the deadline at the latest."""
         self._request_count += 1
-        call_id = request.header(b"x-call-id") or b""
-        exchange = Exchange(self, caller, request, str(self._request_count), call_id, deadline)
+        exchange = Exchange(self, caller, request, str(self._request_count), terms, deadline)
         exchange.budget = budget
         exchange.headers = [h for h in end_to_end(request.headers) if h[0] != b"x-budget"]
-        exchange.repeat = self.config.settings.classes[class_index].repeat
+        exchange.repeat = self.config.settings.classes[terms.class_index].repeat
         self._exchanges[exchange.request_id] = exchange
         self._open_ids.add(exchange.call_id)
         if self._hot_restart is not None:
-            exchange.open_id_slot = self._hot_restart.open_ids.open(call_id)
+            exchange.open_id_slot = self._hot_restart.open_ids.open(exchange.call_id)
         self._set_deadline(exchange, self.clock.now(), deadline)
         return exchange
 
@@ -593,10 +588,10 @@
 
         `body_lost` says that the rest of its body will be discarded. Raises Malformed if it doesn't pass `validate`.
         """
-        class_index, _ = self.validate(request)
+        terms = self.validate(request)
         caller.take_over_request(request, body_lost)
-        exchange = self._open_exchange(caller, request, class_index, max(0.0, deadline - self.clock.now()), deadline)
-        exchange.journal_slot, exchange.class_index = caller.journal_slot, class_index
+        exchange = self._open_exchange(caller, request, terms, max(0.0, deadline - self.clock.now()), deadline)
+        exchange.journal_slot = caller.journal_slot
         self._increment("inherited")
         caller.set_accepted(exchange)
         return exchange
@@ -621,7 +616,7 @@
             if connection is not None:
                 exchange.open_attempts += 1
                 self.backends.take_over(attempt, *connection)
-        class_index, tenant, deadline = exchange.class_index, self._tenant_index(exchange.request), exchange.deadline
+        terms, deadline = exchange.terms, exchange.deadline
 
         def submit() -> None:
             self._dispatch(
@@ -629,8 +624,8 @@
                 lambda now: self.balancer.take_over(
                     now,
                     exchange.request_id,
-                    class_index,
-                    tenant,
+                    terms.class_index,
+                    terms.tenant_index,
                     deadline,
                     prior_attempts,
                     replaced_attempts=replaced_attempts,
@@ -657,15 +652,15 @@
             headers.append((b"x-comeback", self.recovery.state.phase.value.encode()))
         caller.answer(200 if is_up else 503, headers, b"")
 
-    def _submit(self, exchange: Exchange, class_index: int, tenant: int, body_incomplete: bool) -> None:
+    def _submit(self, exchange: Exchange, body_incomplete: bool) -> None:
         """Passes a request to the balancer."""
         if self.recovery is not None:
             self.balancer.preferred = self.recovery.preferred_servers()
-        deadline = exchange.deadline
+        terms, deadline = exchange.terms, exchange.deadline
         self._dispatch(
             exchange,
             lambda now: self.balancer.request(
-                now, exchange.request_id, class_index, tenant, deadline, body_incomplete
+                now, exchange.request_id, terms.class_index, terms.tenant_index, deadline, body_incomplete
             ),
         )
         self.balancer.preferred = None
@@ -715,33 +710,17 @@
         """A part of the body was discarded: the request can't be sent again."""
         self.balancer.on_body_released(exchange.request_id)
 
-    def validate(self, request: Request) -> tuple[int, float | None]:
-        """Returns the class index and the budget in seconds (None without X-Budget) of a request.
+    def validate(self, request: Request) -> RequestTerms:
+        """Returns a request's terms; raises Malformed for one that is not accepted.
 
-        Raises Malformed for a request that can only fail at a backend, so that it neither reaches one nor distorts
-        what is learned of it: a call id that is already open would make a second copy of that request, and a
-        method that does not fit the class would be repeated by other rules than the backend's.
+        A call id that is already open would make a second copy of that request.
         """
-        call_id = request.header(b"x-call-id")
-        if not call_id:
-            raise Malformed(400, "no X-Call-Id")
-        if call_id in self._open_ids or (
-            self._hot_restart is not None and self._hot_restart.open_ids.is_open_elsewhere(call_id)
+        terms = self._terms_reader.read(request)
+        if terms.call_id in self._open_ids or (
+            self._hot_restart is not None and self._hot_restart.open_ids.is_open_elsewhere(terms.call_id)
         ):
             raise Malformed(409, "X-Call-Id of an open request")
-        name = request.header(b"x-call-class")
-        class_index = self._class_indices.get(name or b"")
-        if class_index is None:
-            raise Malformed(400, "unknown X-Call-Class" if name else "no X-Call-Class")
-        repeat = self.config.settings.classes[class_index].repeat
-        if request.method != (b"GET" if repeat is Repeat.SAFE else b"POST"):
-            raise Malformed(405, "the method does not fit the class")
-        if (request.body or request.stream) and repeat is Repeat.SAFE:
-            raise Malformed(400, "a body where none belongs")
-        if bool(request.header(b"idempotency-key")) is not (repeat is Repeat.KEYED):
-            raise Malformed(400, "Idempotency-Key does not fit the class")
-        budget = request.header(b"x-budget")
-        return class_index, None if budget is None else parse_budget(budget)
+        return terms
 
     def on_caller_left(self, exchange: Exchange) -> None:
         """The caller has disconnected."""
@@ -846,11 +825,19 @@
 
     def _answer(self, exchange: Exchange, status: int, headers: Headers, body: bytes) -> None:
         exchange.answered = True
-        if self.inflight is not None:
-            self.inflight.ensure_recorded(exchange)
-        exchange.caller.answer(status, headers, body, journaled=True)
+        self._write_answer(exchange, status, headers, body)
         self._forget_if_settled(exchange)
 
+    def _write_answer(self, exchange: Exchange, status: int, headers: Headers, body: bytes | bytearray) -> None:
+        """Writes the final answer; if that fails, the caller's connection is closed, so that it notices."""
+        try:
+            if self.inflight is not None:
+                self.inflight.ensure_recorded(exchange)
+            exchange.caller.answer(status, headers, body, journaled=True)
+        except Exception:
+            log.exception("answering request %s failed", loggable_id(exchange.call_id))
+            exchange.caller.disconnect()
+
     # ---- attempts ------------------------------------------------------------------------
 
     def _send(self, action: Send) -> None:
@@ -985,7 +972,7 @@
         elif not exchange.answered and outcome is Outcome.OK and response is not None:
             exchange.answered = True
             self._increment("served")
-            exchange.caller.answer(200, _forwarded_headers(response), response.body, journaled=True)
+            self._write_answer(exchange, 200, _forwarded_headers(response), response.body)
         is_answered = exchange.answered
         self._dispatch(
             exchange,
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -16,7 +16,8 @@
 
 from cometusher import backends as backends_module
 from cometusher import callers as callers_module
-from weldroute import Outcome, Repeat
+from cometusher.proxy import Proxy
+from weldroute import ListKind, Outcome, Repeat
 from weldroute.connection_reuse import CLOSE_RACES, MIN_RACE_IDLE_AGE, MIN_REST
 from weldroute.decide import MAX_ATTEMPTS_PER_SERVER
 
@@ -447,6 +448,11 @@
         (request(kind="submit", extra=(b"Transfer-Encoding: identity",)), 400),
         (request(kind="submit", extra=(b"Transfer-Encoding: chunked", b"Transfer-Encoding: chunked")), 400),
         (request(extra=(b"X-Call-Id: 2",)), 400),
+        (request(extra=(b"X-Call-Class: view",)), 400),
+        (request(extra=(b"X-Budget: 5m",)), 400),
+        (request(extra=(b"X-Caller: acme", b"X-Caller: acme")), 400),
+        (request(kind="submit", extra=(b"Idempotency-Key: k1",)), 400),
+        (request(kind="submit", body=b"x" * 70_000, extra=(b"X-Caller: a", b"X-Caller: b")), 400),
         (request(extra=(b"Idempotency-Key: k",)), 400),
         (request(kind="once", extra=(b"Idempotency-Key: k",)), 400),
         (request(kind="view", body=b"x"), 405),
@@ -468,7 +474,7 @@
             assert got == status
             assert b"Traceback" not in seen.body
             assert await caller.read_to_end() == b""  # a single answer, then the connection ends
-            assert not r.seen
+            assert not r.seen and not r.proxy._exchanges and not r.proxy._open_ids
             assert r.proxy.memory.used == 0
             assert (await r.call())[0] == 200
 
@@ -533,6 +539,65 @@
     run(test)
 
 
+def keeps_nothing(proxy: Proxy) -> bool:
+    """Whether a proxy's tables of requests are empty."""
+    return not proxy._exchanges and not proxy._open_ids and not proxy.balancer.requests
+
+
+@pytest.mark.parametrize(
+    ("owner", "method"),
+    [
+        ("proxy", "validate"),
+        ("proxy", "_submit"),
+        ("proxy", "_refuse"),
+        ("balancer", "request"),
+        ("backends", "send"),
+    ],
+)
+def test_request_whose_handling_raises_is_answered_and_not_kept(
+    owner: str, method: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against requests that stay in the proxy's tables for good, until memory ends the process."""
+
+    def fail(*arguments: object) -> None:
+        raise RuntimeError("planted")
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            target = r.proxy if owner == "proxy" else getattr(r.proxy, owner)
+            if method == "_refuse":
+                r.proxy.on_list(ListKind.WHOLE, ())  # without a backend the request is refused
+            with monkeypatch.context() as patch:
+                patch.setattr(target, method, fail)
+                caller = await r.caller()
+                caller.writer.write(request())
+                assert (await caller.answer())[0] in (500, 502)
+                await until(
+                    lambda: not r.proxy._exchanges and not r.proxy._open_ids and not r.proxy.balancer.requests
+                )
+            assert not r.seen
+
+    run(test)
+
+
+def test_caller_whose_answer_cannot_be_written_sees_the_end(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a request that counts as answered and is kept, as the write of its answer has failed."""
+
+    async def test() -> None:
+        async with rig(serve_ok) as r:
+            caller = await r.caller()
+            with monkeypatch.context() as patch:
+                patch.setattr("cometusher.callers.response_head", None)
+                caller.writer.write(request())
+                assert await caller.read_to_end() == b""
+                await until(
+                    lambda: not r.proxy._exchanges and not r.proxy._open_ids and not r.proxy.balancer.requests
+                )
+            assert (await r.call())[0] == 200
+
+    run(test)
+
+
 def test_input_behind_an_open_request_cancels_it() -> None:
     async def test() -> None:
         async with rig(silent) as r:
