A taken-over request whose body is lost is not sent again

The balancer is told now, and Proxy._send sends nothing for a request whose body is not at hand. Both cases of test_long_request_whose_body_is_lost_is_not_sent_on fail without it (bodies of 150000, 150000, 0 bytes, status 200).

--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -122,6 +122,7 @@
         "answer_stored_until",
         "answered",
         "attempts",
+        "body_lost",
         "budget",
         "call_id",
         "caller",
@@ -164,6 +165,7 @@
         self.repeat = Repeat.UNSAFE  # of its class
         self.attempts: list[Attempt] = []
         self.open_attempts = 0
+        self.body_lost = False  # it was taken over from another process without its body
         self.journal_slot = -1  # its slot in the request journal; -1 while it has none
         self.dedup_key = 0  # identifies requests with the same idempotency key; 0 if there is none
         self.answer_stored_until = 0.0  # when its stored answer expires, by the machine's clock
@@ -178,6 +180,12 @@
         stream = self.request.stream
         return stream is not None and not stream.complete
 
+    @property
+    def can_be_sent(self) -> bool:
+        """Whether its body is at hand from the first byte on."""
+        stream = self.request.stream
+        return not self.body_lost and (stream is None or not stream.consumed)
+
     @property
     def budget_left(self) -> float:
         """Seconds that are certainly left of its budget if the last byte of its body was read now."""
@@ -591,7 +599,7 @@
         terms = self.validate(request)
         caller.take_over_request(request, body_lost)
         exchange = self._open_exchange(caller, request, terms, max(0.0, deadline - self.clock.now()), deadline)
-        exchange.journal_slot = caller.journal_slot
+        exchange.journal_slot, exchange.body_lost = caller.journal_slot, body_lost
         self._increment("inherited")
         caller.set_accepted(exchange)
         return exchange
@@ -628,7 +636,8 @@
                     terms.tenant_index,
                     deadline,
                     prior_attempts,
-                    replaced_attempts=replaced_attempts,
+                    exchange.body_lost,
+                    replaced_attempts,
                 ),
             )
 
@@ -854,6 +863,10 @@
             )
         exchange.attempts.append(attempt)
         exchange.open_attempts += 1
+        if not exchange.can_be_sent:
+            log.error("request %s can't be sent: its body is lost", loggable_id(exchange.call_id))
+            self.loop.call_soon(self.backends.finish, attempt, Outcome.UNREACHABLE, None, "its body is lost")
+            return
         request = exchange.request
         stream = request.stream
         if 0.0 < action.timeout < exchange.deadline - now:
--- a/tests/loopback/test_takeover_processes.py
+++ b/tests/loopback/test_takeover_processes.py
@@ -656,6 +656,41 @@
     run(test)
 
 
+@pytest.mark.parametrize(
+    ("rejection", "status"),
+    [((503, b"X-Rejected: 1"), 503), ((500, b""), 502)],
+    ids=["turned-away", "failed"],
+)
+def test_long_request_whose_body_is_lost_is_not_sent_on(rejection: tuple[int, bytes], status: int) -> None:
+    """Guards against a request that runs without its body and is answered with 200 (review/6)."""
+    bodies: list[int] = []
+
+    async def test() -> None:
+        async with takeover_rig(3, settings={"Bounds": {"SecondCopies": False}}) as rig:
+
+            async def respond(seen: Message, writer: Writer, body: bytes) -> None:
+                bodies.append(len(seen.body))
+                if len(bodies) == 1:
+                    writer.write(reply(503, b"", b"X-Rejected: 1"))
+                    return
+                await rig.backends_may_answer.wait()
+                writer.write(reply(rejection[0], b"", rejection[1]) if len(bodies) == 2 else reply(200, body))
+
+            rig.respond = respond
+            rig.backends_may_answer.clear()
+            caller = await rig.connect(0)
+            request_id, data = rig.message("submit", body=b"x" * 150_000)
+            caller.writer.write(data)
+            await rig.wait_for_request(request_id, 2)  # the second attempt is sent with the whole body at once
+            os.kill(await rig.pid_of(0), signal.SIGKILL)
+            await rig.wait_until(lambda: _has_adopted(rig, 1), "a successor")
+            rig.backends_may_answer.set()
+            answer = await caller.answer()
+            assert (bodies, answer[0]) == ([150_000, 150_000], status)
+
+    run(test)
+
+
 async def run_in_late_attempt(
     rig: TakeoverRig, caller: Caller, kind: str, runs: list[bytes]
 ) -> tuple[bytes, asyncio.Task[tuple[int, Message]]]:
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -731,7 +731,8 @@
                 attempt.outcome = Outcome.BROKEN if prior.maybe_ran else Outcome.UNREACHABLE
         actions: list[Action] = []
         if request.open:
-            self._schedule_copy(now, request, actions)
+            if not body_released:
+                self._schedule_copy(now, request, actions)
         elif not self._try_next_attempt(now, request, actions):
             self._refuse_or_fail(now, request, actions)
         return actions
