--- a/cometusher/http1.py
+++ b/cometusher/http1.py
@@ -301,6 +301,8 @@
         if request.stream is not None:
             if request.received > MAX_STREAM:
                 raise Malformed(413, "body too large")
+            if request.received == request.length:
+                request.stream.announce_end()
             request.stream.feed(data)
             return
         request.body += data
--- a/cometusher/inflight/tracker.py
+++ b/cometusher/inflight/tracker.py
@@ -181,6 +181,13 @@
     )
 
 
+def _written_length(attempt: Attempt, request: Request) -> int:
+    """Bytes of an attempt's request as it is written; 0 where that is not known yet."""
+    if attempt.stream is None:
+        return len(attempt.head) + len(attempt.body)
+    return len(attempt.head) + request.length if request.length is not None else 0
+
+
 class InflightTracker:
     """Tracks the in-flight requests of one process, and the requests that it takes over.
 
@@ -332,6 +339,7 @@
             exchange.dedup_key,
             previous,
             exchange.answer_stored_until,
+            request.stream is None or request.stream.ending,
         )
         if exchange.journal_slot == NONE:
             exchange.journal_slot = self._mark_uncovered(caller)
@@ -418,7 +426,7 @@
         return self._followers.pop(exchange.request_id, None) is not None
 
     def on_body_received(self, exchange: Exchange) -> None:
-        """The last byte of a request's body has arrived: its deadline counts from here."""
+        """The last byte of a request's body has arrived, and was not passed on yet: its deadline counts from here."""
         self.journal.record_body_received(
             exchange.journal_slot, self._proxy.clock.to_machine(exchange.deadline), exchange.caller.bytes_read
         )
@@ -434,12 +442,12 @@
             server = self._proxy.balancer.servers.get(attempt.server)
             connection.failure_domain = (server.row.zone, server.row.cell) if server is not None else (0, 0)
         zone, cell = connection.failure_domain
-        length = len(attempt.head) + len(attempt.body) if attempt.stream is None else 0
+        length = _written_length(attempt, exchange.request)
         offset = self._offset
         if exchange.journal_slot == NONE:
             caller = exchange.caller
             raw = caller.last_request_bytes
-            if raw and len(raw) <= INLINE_SIZE and length:
+            if raw and len(raw) <= INLINE_SIZE and attempt.stream is None:
                 previous = caller.journal_slot
                 if previous in self._keyed:
                     previous = self._previous_record(caller)
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -197,6 +197,9 @@
     def on_body_complete(self) -> None:
         self.proxy.on_body_complete(self)
 
+    def on_body_ending(self) -> None:
+        self.proxy.on_body_ending(self)
+
     def on_body_flow_changed(self) -> None:
         self.proxy.on_body_flow_changed(self)
 
@@ -538,6 +541,7 @@
         exchange = self._open_exchange(caller, request, terms, budget, deadline)
         if stream is not None:
             stream.on_consumed = exchange.on_body_consumed
+            stream.on_ending = exchange.on_body_ending
         try:
             if self.inflight is not None:
                 self._accept_journaled(self.inflight, exchange, body_incomplete)
@@ -686,6 +690,14 @@
         """The open exchange with this id, or None once it is settled."""
         return self._exchanges.get(request_id)
 
+    def on_body_ending(self, exchange: Exchange) -> None:
+        """The last byte of a streamed body was read, and is passed on next: from then on the request may run."""
+        if exchange.answered or self.inflight is None:
+            return
+        now = self.clock.now()
+        self._set_deadline(exchange, now, min(now + exchange.budget_left, self._latest_deadline))
+        self.inflight.on_body_received(exchange)
+
     def on_body_complete(self, exchange: Exchange) -> None:
         """The last byte of a streamed body was read: the budget counts from now, less what the body was held back."""
         if exchange.answered:
--- a/cometusher/stream.py
+++ b/cometusher/stream.py
@@ -54,7 +54,9 @@
         "_waiting_bytes",
         "complete",
         "consumed",
+        "ending",
         "on_consumed",
+        "on_ending",
         "size",
     )
 
@@ -68,9 +70,11 @@
         self._source_paused = False  # reading from the source is paused
         self._discarded = False  # the rest of the body is not needed
         self.size = 0  # bytes that have arrived
+        self.ending = False  # the last byte is about to be delivered, or has been
         self.complete = False  # the last byte has arrived
         self.consumed = False  # a part was discarded, so it can't be delivered again from its start
         self.on_consumed: Callable[[], None] | None = None
+        self.on_ending: Callable[[], None] | None = None
         if initial:
             self.feed(initial)
 
@@ -86,12 +90,20 @@
             self._source_paused = True
             self._source.pause_body()
 
+    def announce_end(self) -> None:
+        """The last byte follows: whatever has to be known before a receiver gets it must be noted now."""
+        if not self.ending:
+            self.ending = True
+            if self.on_ending is not None:
+                self.on_ending()
+
     def finish(self) -> None:
         """The last byte has arrived.
 
         Resumes reading from the source: while reading is paused, a caller's disconnect goes unnoticed, and an answer
         that is streamed to it would wait forever.
         """
+        self.announce_end()
         self.complete = True
         self.deliver()
         self._resume_source()
--- a/tests/loopback/test_takeover_processes.py
+++ b/tests/loopback/test_takeover_processes.py
@@ -691,6 +691,32 @@
     run(test)
 
 
+@pytest.mark.parametrize("length", [66_000, 150_000, 1_000_000])
+@pytest.mark.parametrize("chunked", [False, True], ids=["length", "chunked"])
+def test_long_unsafe_request_that_runs_is_never_refused(length: int, chunked: bool) -> None:
+    """Guards against a second run after a refusal: the body had come before the request was recorded (review/7)."""
+
+    async def test() -> None:
+        async with takeover_rig(3) as rig:
+            rig.backends_may_answer.clear()
+            caller = await rig.connect(0)
+            request_id, data = rig.message("once", body=b"x" * length)
+            if chunked:
+                data = data.replace(b"Content-Length: %d" % length, b"Transfer-Encoding: chunked")
+                head, _, body = data.partition(b"\r\n\r\n")
+                data = b"%b\r\n\r\n%x\r\n%b\r\n0\r\n\r\n" % (head, length, body)
+            caller.writer.write(data)
+            await rig.wait_for_request(request_id)
+            os.kill(await rig.pid_of(0), signal.SIGKILL)
+            await rig.wait_until(lambda: _has_adopted(rig, 1), "a successor")
+            rig.backends_may_answer.set()
+            status = (await caller.answer())[0]
+            assert (status, rig.effects) in ((200, {request_id: 1}), (502, {request_id: 1}))
+            assert status == 200 or chunked, "the attempt of a request with a stated length is joined"
+
+    run(test)
+
+
 async def run_in_late_attempt(
     rig: TakeoverRig, caller: Caller, kind: str, runs: list[bytes]
 ) -> tuple[bytes, asyncio.Task[tuple[int, Message]]]:
--- a/tests/unit/test_stream.py
+++ b/tests/unit/test_stream.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+import pytest
+
+from cometusher.http1 import MAX_BODY, Request, RequestParser
 from cometusher.stream import MAX_WAITING_BYTES, REPLAY_BYTES, BodyStream
 
+LONG_BODY = 2 * MAX_BODY
+CHUNKS = (b"1000\r\n" + b"x" * 0x1000 + b"\r\n") * (LONG_BODY // 0x1000)
+
 
 class FakeSource:
     def __init__(self) -> None:
@@ -124,3 +130,46 @@
     stream.detach(backend)
     stream.finish()
     assert caller.paused == 0 and not stream.consumed and len(stream.contents()) == MAX_WAITING_BYTES + 3
+
+
+class AttachingSink:
+    """Delivers a long body to a receiver, and notes whether its end is announced before the receiver has it."""
+
+    def __init__(self, receiver: FakeReceiver) -> None:
+        self.receiver = receiver
+        self.had_all_at_announcement: list[bool] = []
+
+    def receiver_has_all(self) -> bool:
+        return self.receiver.ended or self.receiver.received == b"x" * LONG_BODY
+
+    def on_request_begin(self) -> None: ...
+
+    def on_request_head(self, request: Request) -> None: ...
+
+    def on_large_body(self, request: Request) -> None:
+        received, request.body = bytes(request.body), bytearray()
+        request.stream = BodyStream(FakeSource(), received)
+        request.stream.on_ending = lambda: self.had_all_at_announcement.append(self.receiver_has_all())
+        request.stream.attach(self.receiver)
+
+    def on_request(self, request: Request) -> None:
+        assert request.stream is not None
+        request.stream.finish()
+
+
+@pytest.mark.parametrize(
+    "framed",
+    [
+        b"Content-Length: %d\r\n\r\n" % LONG_BODY + b"x" * LONG_BODY,
+        b"Transfer-Encoding: chunked\r\n\r\n" + CHUNKS + b"1\r\nx\r\n0\r\n\r\n",
+    ],
+    ids=["length", "chunked"],
+)
+def test_end_is_announced_before_a_receiver_gets_the_last_byte(framed: bytes) -> None:
+    """Guards against a request that runs while its journal says that it can't have begun (review/7)."""
+    sink = AttachingSink(FakeReceiver())
+    parser = RequestParser(sink)
+    data = b"POST / HTTP/1.1\r\n" + framed
+    for start in range(0, len(data), 10_000):
+        parser.feed(data[start : start + 10_000])
+    assert sink.receiver_has_all() and sink.had_all_at_announcement == [False]
--- a/weldroute/request_journal.py
+++ b/weldroute/request_journal.py
@@ -442,11 +442,13 @@
         key: int = 0,
         previous: int = NONE,
         replay_until: float = 0.0,
+        body_received: bool = False,
     ) -> int:
         """Record a request; returns its handle, or NONE where it is not covered. `key`: a digest, or 0.
 
         `previous`: the handle of the same connection's previous request, which is over; its slot is reused.
         `replay_until`: until when the answer to its key may be replayed (seconds, of the machine's clock).
+        `body_received`: the last byte of the body has arrived, as it has where the body is stored.
         """
         slot = self._allocate_slot(previous)
         if slot < 0:
@@ -471,7 +473,9 @@
             len(request),
             first,
             zlib.adler32(request),
-            (BODY_STORED | BODY_RECEIVED) * body_stored + CLOSES_CONNECTION * closes_connection,
+            BODY_STORED * body_stored
+            | BODY_RECEIVED * (body_stored or body_received)
+            | CLOSES_CONNECTION * closes_connection,
             process,
             origin_slot,
             term,
@@ -562,7 +566,7 @@
         return serial << 16 | slot
 
     def record_body_received(self, handle: int, deadline: float, bytes_read: int) -> None:
-        """Record the arrival of the last byte of a streamed body; before it no attempt can have run.
+        """Record the arrival of the last byte of a streamed body, before it is passed on: no attempt has run yet.
 
         The deadline and `bytes_read` count from here on; otherwise the body would look like bytes after the request.
         """
@@ -709,9 +713,8 @@
             record.key,
             NONE,
             record.replay_until,
+            record.body_received,
         )
-        if record.body_received and not record.body_stored:
-            self.record_body_received(handle, record.deadline, record.bytes_read)
         ends = [attempt.end for attempt in record.attempts] if attempt_ends is None else attempt_ends
         for attempt, descriptor, end in zip(record.attempts, attempt_descriptors, ends, strict=True):
             self.record_attempt(
