Heads count against the memory budget, and reads have a bounded size

In own runs with memory_mb 32 and 600 clients, heads of 450 short fields took the process to 69.7 MB, and half-sent long bodies to 40.4 MB: a field takes far more memory than its bytes, heads were in no budget, the fields of a rejected request stayed until its connection ended, and the event loop reads up to 256 KiB at once.

A head has at most 100 fields, and beyond 2 KiB of memory it is reserved like a body. The parser drops what is not needed any more.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -13,6 +13,7 @@
 from enum import Enum
 from typing import Any, Protocol, cast
 
+from cometusher.bounded_read import BoundedReadProtocol
 from cometusher.budget import DescriptorBudget
 from cometusher.config import Address
 from cometusher.http1 import LAST_CHUNK, MAX_BODY, Malformed, Response, ResponseParser, chunk
@@ -131,7 +132,7 @@
         self.idle: list[BackendConnection] = []
 
 
-class BackendConnection(asyncio.Protocol):
+class BackendConnection(BoundedReadProtocol):
     """One connection to a backend; carries one attempt at a time."""
 
     def __init__(self, pool: Backends, backend: Backend) -> None:
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -8,6 +8,7 @@
 from enum import Enum
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
+from cometusher.bounded_read import BoundedReadProtocol
 from cometusher.budget import BodyMemoryBudget, DescriptorBudget
 from cometusher.http1 import (
     CONTINUE,
@@ -45,6 +46,7 @@
 EVICT_LINGERING_AFTER = 0.1  # seconds after which a lingering connection may be evicted
 MAX_EVICTIONS = 16  # of such connections at once, as they arrive by the hundred
 LINGER_TIMEOUT = 0.5  # seconds in which input is read and discarded before a close
+HEAD_ALLOWANCE = 2048  # bytes of memory of a head that are not counted
 MAX_LINGER_BYTES = 256 * 1024  # of discarded input
 BODY_LINGER_TIMEOUT = 30.0  # seconds in which the rest of an unwanted body is read and discarded
 
@@ -86,7 +88,7 @@
         """Handles a complete or streamed request; returns None if it was answered at once."""
 
 
-class CallerConnection(asyncio.Protocol):
+class CallerConnection(BoundedReadProtocol):
     """One caller's connection, which carries one request at a time.
 
     Bytes behind a request before its answer are taken as a sign of wrong framing, and both are rejected: with a
@@ -166,6 +168,8 @@
             self.last_request_bytes = b""
         try:
             self._parser.feed(data)
+            if self._parser.current is not None and not self._parser.head_done:
+                self._reserve_head(self._parser.current)
         except Malformed as error:
             self.reject(error)
         except Exception:
@@ -273,8 +277,16 @@
         if self._request is not None or self._complete_request is not None:
             raise Malformed(400, "more before the answer to a request")
 
+    def _reserve_head(self, request: Request) -> None:
+        """Reserves memory for what has come of a head; raises Malformed if there is none."""
+        needed = max(0, self._parser.head_memory - HEAD_ALLOWANCE)
+        if not self._callers.memory.reserve(needed - request.reserved_head_bytes):
+            raise Malformed(503, "no memory for heads")
+        request.reserved_head_bytes = needed
+
     def on_request_head(self, request: Request) -> None:
         self._head_complete_at = self._last_read_at
+        self._reserve_head(request)
         if request.method not in (b"GET", b"POST"):
             raise Malformed(405, "method not allowed")
         reservation = MAX_BODY if request.length is None else request.length
@@ -317,15 +329,16 @@
         self.has_carried_request = True
 
     def _release_body_of(self, request: Request) -> None:
-        """Discards a request's body and releases its memory."""
-        self._callers.memory.release(request.reserved_bytes)
-        request.reserved_bytes = 0
+        """Discards a request's body and releases its memory, and that of its head."""
+        self._callers.memory.release(request.reserved_bytes + request.reserved_head_bytes)
+        request.reserved_bytes = request.reserved_head_bytes = 0
         request.body = bytearray()
         if request.stream is not None:
             request.stream.discard()
 
     def _discard_partial_request(self) -> None:
-        current, self._parser.current = self._parser.current, None
+        current = self._parser.current
+        self._parser.discard()
         if current is not None:
             self._release_body_of(current)
 
--- a/cometusher/http1.py
+++ b/cometusher/http1.py
@@ -16,6 +16,8 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_HEAD = 16 * 1024  # bytes of a head, of trailers, and of the framing of a body
+MAX_FIELDS = 100  # lines of a head
+FIELD_OVERHEAD = 150  # bytes of memory that a field takes beside its name and value
 MAX_BODY = 64 * 1024  # bytes of a body, in either direction, that is buffered; a longer one is streamed
 MAX_STREAM = 40 * 1024 * 1024  # bytes of any body
 MAX_INTERIM_ANSWERS = 8  # 1xx answers before the final one
@@ -127,6 +129,7 @@
         "method",
         "received",
         "reserved_bytes",
+        "reserved_head_bytes",
         "stream",
         "target",
     )
@@ -140,6 +143,7 @@
         self.received = 0  # bytes of the body
         self.stream: BodyStream | None = None  # holds the body instead of `body` if it is streamed
         self.reserved_bytes = 0  # bytes reserved for the body in the memory budget
+        self.reserved_head_bytes = 0  # bytes reserved for the head
         self.keep_alive = True
         self.http10 = False
 
@@ -174,11 +178,12 @@
         self._overhead_bytes = 0  # bytes since the start of the message that were not body
         self._head_bytes = 0  # bytes of its headers, and the cost of storing them
         self._headers: Headers = []
+        self.head_memory = 0  # bytes of memory that the head takes, or has taken
         self.head_done = False
 
     def _reset(self) -> None:
         self._headers = []
-        self._overhead_bytes = self._head_bytes = 0
+        self._overhead_bytes = self._head_bytes = self.head_memory = 0
         self.head_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
@@ -186,7 +191,8 @@
             return  # a trailer, which is ignored
         # The bytes read so far are no measure: the read that ends a head may contain a whole body.
         self._head_bytes += len(name) + len(value) + 32
-        if self._head_bytes > MAX_HEAD:
+        self.head_memory += len(name) + len(value) + FIELD_OVERHEAD
+        if self._head_bytes > MAX_HEAD or len(self._headers) >= MAX_FIELDS:
             raise Malformed(431, "head too large")
         self._headers.append((name.lower(), value.strip()))
 
@@ -251,6 +257,7 @@
         self._sink = sink
         self._parser = httptools.HttpRequestParser(self)
         self.current: Request | None = None  # the request being read
+        self._body_parts: list[bytes] = []  # of a streamed body, read by the present call of `feed`
 
     def feed(self, data: bytes) -> None:
         """Parses the next bytes and calls the sink."""
@@ -258,6 +265,7 @@
             received_before = self.current.received if self.current else 0
             self._overhead_bytes += len(data)
             remaining = self._feed(self._parser, data)
+            self._pass_body_on()
             current = self.current
             if current is not None:
                 # Bounds heads, trailers and chunk framing, which the parser would buffer without limit.
@@ -301,18 +309,32 @@
         if request.stream is not None:
             if request.received > MAX_STREAM:
                 raise Malformed(413, "body too large")
-            if request.received == request.length:
-                request.stream.announce_end()
-            request.stream.feed(data)
+            self._body_parts.append(data)
             return
         request.body += data
         if request.received > MAX_BODY:
             self._sink.on_large_body(request)
 
+    def discard(self) -> None:
+        """Releases what was read of the current request, which is not needed any more."""
+        self.current = None
+        self._headers, self._body_parts = [], []
+
+    def _pass_body_on(self) -> None:
+        """Passes the parts of a body on as one, since a chunk may hold a single byte."""
+        parts, self._body_parts = self._body_parts, []
+        request = self.current
+        if parts and request is not None and request.stream is not None:
+            if request.received == request.length:
+                request.stream.announce_end()
+            request.stream.feed(b"".join(parts))
+
     def on_message_complete(self) -> None:
         request = self.current
         assert request is not None
+        self._pass_body_on()
         self.current = None
+        self._headers = []  # the request's own; a connection may rest for long
         self._sink.on_request(request)
 
 
@@ -360,6 +382,7 @@
         if complete is not None:
             self._interim_count = 0
             self.response = None
+            self._headers = []  # the answer's own; a connection may rest for long
         return complete
 
     def on_message_begin(self) -> None:
--- a/cometusher/management.py
+++ b/cometusher/management.py
@@ -125,7 +125,7 @@
     def __init__(
         self,
         loop: asyncio.AbstractEventLoop,
-        attach: Callable[[Any, Callable[[], asyncio.Protocol]], Any],
+        attach: Callable[[Any, Callable[[], asyncio.BaseProtocol]], Any],
         listener: Listener,
         handler: Callable[[ManagementCall, str], CallResult],
     ) -> None:
--- a/cometusher/runtime.py
+++ b/cometusher/runtime.py
@@ -71,7 +71,7 @@
     def adopt(self, listener: socket.socket) -> Listener:
         """Use a listening socket that another component has opened."""
 
-    async def attach(self, connection: Any, protocol: Callable[[], asyncio.Protocol]) -> None:
+    async def attach(self, connection: Any, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
         """Attach an accepted connection to the event loop; raises OSError."""
 
     def unread_check(self, transport: asyncio.Transport) -> Callable[[], bool]:
@@ -153,7 +153,7 @@
         """Use a listening socket that another component has opened."""
         return SocketListener(self._loop, listener)
 
-    async def attach(self, connection: socket.socket, protocol: Callable[[], asyncio.Protocol]) -> None:
+    async def attach(self, connection: socket.socket, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
         """Attach an accepted connection to the event loop; raises OSError."""
         await self._loop.connect_accepted_socket(protocol, connection)
 
--- a/cometusher/simulation/network.py
+++ b/cometusher/simulation/network.py
@@ -19,6 +19,7 @@
 
 import orjson
 
+from cometusher.bounded_read import BoundedReadProtocol
 from cometusher.config import Address
 from cometusher.handover import MAX_PROCESSES, ORDERS_CELL, Handover, ProcessLedger
 from cometusher.runtime import Listener
@@ -148,7 +149,7 @@
         self.machine = machine
         self._addresses = {"sockname": local, "peername": remote}
         self._context = machine.context() if machine is not None else contextvars.copy_context()
-        self._protocol: asyncio.Protocol | None = None
+        self._protocol: asyncio.Protocol | BoundedReadProtocol | None = None
         self.peer: VirtualTransport | None = None
         self._send_buffer = bytearray()  # written by the program, not yet taken by the kernel
         self._bytes_in_transit = 0  # bytes sent that have not reached the peer
@@ -183,7 +184,7 @@
 
     def set_protocol(self, protocol: asyncio.BaseProtocol) -> None:
         """Set the protocol that receives the events."""
-        assert isinstance(protocol, asyncio.Protocol)
+        assert isinstance(protocol, asyncio.Protocol | BoundedReadProtocol)
         self._protocol = protocol
 
     def get_protocol(self) -> asyncio.BaseProtocol:
@@ -300,7 +301,7 @@
         if protocol is not None:
             protocol.connection_lost(exc)
 
-    def attach(self, protocol: asyncio.Protocol) -> None:
+    def attach(self, protocol: asyncio.Protocol | BoundedReadProtocol) -> None:
         """Connect a protocol; data that has arrived already is passed to it afterwards."""
         self._protocol = protocol
         protocol.connection_made(self)
@@ -576,7 +577,7 @@
                 self.network.loop.call_later(1.0, self.notify)  # as asyncio does (ACCEPT_RETRY_DELAY)
                 return
             protocol = self.factory()
-            assert isinstance(protocol, asyncio.Protocol)
+            assert isinstance(protocol, asyncio.Protocol | BoundedReadProtocol)
             transport._call_soon(transport.attach, protocol)
 
     def watch(self, waits: Callable[[], None]) -> None:
@@ -747,7 +748,7 @@
         near.peer, far.peer = far, near
         listener.enqueue(far)
         protocol = factory()
-        assert isinstance(protocol, asyncio.Protocol)
+        assert isinstance(protocol, asyncio.Protocol | BoundedReadProtocol)
         near.attach(protocol)
         return near, protocol
 
@@ -902,7 +903,7 @@
         assert machine is not None
         return SharedListener(listener, machine)
 
-    async def attach(self, connection: Any, protocol: Callable[[], asyncio.Protocol]) -> None:
+    async def attach(self, connection: Any, protocol: Callable[[], asyncio.BaseProtocol]) -> None:
         """Attach a protocol to a connection that was accepted or handed over."""
         machine = CURRENT_MACHINE.get()
         if connection.machine is None and machine is not None:
