A slow answer is cut off only where another attempt takes its place

Callers got 502 for answers that a sound backend was still writing: the operators' records show chunked and long answers closed 0.33 to 0.4 s after their head, of unsafe requests and, after a repeat, of a keyed one. An answer with a pause over 0.3 s, or over 1 s in all, failed its attempt even where no further one could start; one with no length could not reach the 0.35 s after which it is streamed, and a long one without a byte of body was not streamed at all.

On a stall the balancer starts another attempt if it can, and then the slow one ends. Else a short answer is waited for up to the deadline, and a long one is streamed.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -63,6 +63,9 @@
     def on_answer_started(self, attempt: Attempt, response: Response) -> bool:
         """A long answer has begun; returns whether to stream it by `on_answer_data`."""
 
+    def on_answer_stalled(self, attempt: Attempt) -> bool:
+        """An answer has begun and does not go on; returns whether another attempt takes the place of this one."""
+
     def on_answer_data(self, attempt: Attempt, data: bytes) -> None:
         """The next bytes of a streamed answer."""
 
@@ -153,6 +156,7 @@
         self._parser = ResponseParser()
         self._answer_started_at = 0.0  # when the first byte of the answer arrived; 0 before
         self._streaming_answer = False
+        self._stall_reported = False  # the present answer has stalled, and no other attempt took its place
         self._reading_paused = False  # because the caller's write buffer is full
         self.request_incomplete = False  # the last byte of the request is not written yet
         self._write_blocked = False  # the write buffer towards the backend is full
@@ -215,26 +219,25 @@
         Streaming spares callers the wait and keeps long answers out of memory. A short answer of known length is
         read completely before it is passed on, because the request can be repeated if the answer breaks.
         """
-        response, attempt = self._parser.response, self.attempt
-        if (
-            response is None
-            or attempt is None
-            or self._streaming_answer
-            or response.status != 200
-            or not response.received
-        ):
-            return  # body bytes imply that the head is complete
+        response = self._parser.response
+        if response is None or self._streaming_answer or response.status != 200 or not self._parser.head_done:
+            return
         elapsed = self._pool.loop.time() - self._answer_started_at
         if response.received <= MAX_BODY:
             if response.length is None:
-                if elapsed <= STREAM_DELAY_UNKNOWN_LENGTH:
+                if not response.received or elapsed <= STREAM_DELAY_UNKNOWN_LENGTH:
                     return
             elif response.length <= MAX_BODY:
                 return
             elif elapsed < STREAM_DELAY_KNOWN_LENGTH:
                 self._pool.loop.call_later(STREAM_DELAY_KNOWN_LENGTH, self._retry_streaming, response)
                 return
-        if not self._pool.sink.on_answer_started(attempt, response):
+        self._start_streaming(response)
+
+    def _start_streaming(self, response: Response) -> None:
+        """Passes on what has come of the answer, and the rest as it comes."""
+        attempt = self.attempt
+        if attempt is None or not self._pool.sink.on_answer_started(attempt, response):
             return
         if self.attempt is not attempt:
             return  # the caller disconnected during the call
@@ -378,7 +381,7 @@
             if self.attempt.stream is not None:
                 self.attempt.stream.detach(self)
         self.attempt = None
-        self._streaming_answer = self.request_incomplete = False
+        self._streaming_answer = self.request_incomplete = self._stall_reported = False
         if self._reading_paused:
             self.set_reading_paused(False)
 
@@ -418,19 +421,36 @@
             self._pool.finish(attempt, Outcome.BROKEN, None, reason)
 
     def check_stalled(self, now: float) -> None:
-        """Fails an attempt whose answer has begun and then stalls, or arrives too slowly.
+        """Acts on an answer that has begun and then stalls, or arrives too slowly.
 
-        This leaves time to retry instead of waiting until the deadline for the rest of an answer that never comes:
-        once an answer has begun, a working backend is never silent for so long. The cost: a network that delays a
-        part of an answer for longer is mistaken for a broken backend.
+        While it can, another attempt takes its place, instead of waiting until the deadline for the rest of an answer
+        that never comes. Where there is none, a short answer is waited for, and a long one is streamed: it may be
+        sound and only slow. The cost: a sound answer that is delayed for as long is asked for again.
         """
         if self.attempt is None or not self._answer_started_at or self._reading_paused:
             return
         if self._streaming_answer:
             if now - self.last_read_at > STREAM_STALL_TIMEOUT:
-                self._fail(f"the answer stalled: {self.progress()}")
+                self.break_off()
         elif now - self.last_read_at > ANSWER_STALL_TIMEOUT or now - self._answer_started_at > ANSWER_READ_TIMEOUT:
-            self._fail(f"the answer stalled: {self.progress()}")
+            self._on_stalled(self.attempt)
+
+    def _on_stalled(self, attempt: Attempt) -> None:
+        response = self._parser.response
+        is_error = response is not None and self._parser.head_done and response.status != 200
+        if response is None or is_error or self.request_incomplete:
+            self.break_off()
+            return
+        if not self._stall_reported:
+            self._stall_reported = True
+            if self._pool.sink.on_answer_stalled(attempt):
+                return
+        if self._parser.head_done and (response.length is None or response.length > MAX_BODY):
+            self._start_streaming(response)
+
+    def break_off(self) -> None:
+        """Ends the attempt, whose answer does not go on, and closes the connection."""
+        self._fail(f"the answer stalled: {self.progress()}")
 
     def progress(self) -> str:
         """Describes the progress of the attempt, for the log."""
@@ -670,6 +690,11 @@
             attempt.connection.close(CloseReason.ATTEMPT_CANCELLED)
         return progress
 
+    def break_off(self, attempt: Attempt) -> None:
+        """Ends an attempt whose answer does not go on, and reports it as broken."""
+        if attempt.connection is not None:
+            attempt.connection.break_off()
+
     def finish(self, attempt: Attempt, outcome: Outcome, response: Response | None, reason: str) -> None:
         """Reports the end of an attempt, once."""
         if not attempt.ended:
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -963,6 +963,25 @@
         )
         return True
 
+    def on_answer_stalled(self, attempt: Attempt) -> bool:
+        """Lets another attempt take the place of one whose answer does not go on; returns whether one did."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        if exchange.answered:
+            return False
+        if exchange.open_attempts > 1:  # the others go on
+            self.backends.break_off(attempt)
+            return True
+
+        def replace_attempt(now: float) -> list[Action]:
+            actions = self.balancer.on_answer_stalled(now, exchange.request_id, attempt.number)
+            if actions:
+                self.backends.break_off(attempt)
+            return actions
+
+        self._dispatch(exchange, replace_attempt)
+        return attempt.ended
+
     def on_answer_data(self, attempt: Attempt, data: bytes) -> None:
         """Passes the next bytes of a streamed answer to the caller."""
         exchange = attempt.owner
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -1056,6 +1056,27 @@
                 self._refuse_or_fail(now, request, actions)
         return actions
 
+    def on_answer_stalled(self, now: float, request_id: RequestId, attempt_index: int) -> list[Action]:
+        """Replace an attempt whose answer has begun and does not go on, if a further one can start.
+
+        The attempt counts as broken then, and the caller has to cancel it before it carries out the actions. Without
+        actions the attempt goes on: a slow answer is better than none.
+        """
+        request = self.requests.get(request_id)
+        if request is None or request.done or request.bound or request.open != 1:
+            return []
+        attempt = request.attempts[attempt_index]
+        attempt.open, attempt.outcome = False, Outcome.BROKEN
+        request.open = 0
+        actions: list[Action] = []
+        if not self._retry(now, request, actions):
+            attempt.open, attempt.outcome = True, None
+            request.open = 1
+            return []
+        timeout = self.settings.classes[request.class_index].aim
+        self._record_outcome(now, attempt, Outcome.BROKEN, now - attempt.sent, timeout)
+        return actions
+
     def _record_outcome(self, now: float, attempt: Attempt, outcome: Outcome, latency: float, timeout: float) -> None:
         server = attempt.server
         server.in_flight.pop(attempt, None)
