--- a/benchmarks/mutants.py
+++ b/benchmarks/mutants.py
@@ -89,8 +89,8 @@
     Mutant(
         "the memory of a body is not released",
         "callers",
-        "self._callers.memory.release(request.reserved_bytes)\n        request.reserved_bytes = 0",
-        "request.reserved_bytes = 0",
+        "self._callers.memory.release(request.reserved_bytes + request.reserved_head_bytes)\n        request",
+        "request",
     ),
     Mutant(
         "an idle connection is not checked before use",
@@ -134,7 +134,7 @@
     Mutant(
         "a caller's time budget is ignored",
         "proxy",
-        "budget = max_budget if budget is None else min(budget, max_budget)",
+        "budget = max_budget if terms.budget is None else min(terms.budget, max_budget)",
         "budget = max_budget",
     ),
     Mutant(
@@ -183,8 +183,8 @@
     Mutant(
         "a head followed by a body is rejected as too large",
         "http1",
-        "if self._head_bytes > MAX_HEAD:",
-        "if self._head_bytes + self._overhead_bytes > MAX_HEAD:",
+        "if self._head_bytes > MAX_HEAD or",
+        "if self._head_bytes + self._overhead_bytes > MAX_HEAD or",
     ),
     Mutant(
         "a request is accepted while another is open",
