Answers, connections and open requests count against the memory limit

Answers were in no budget, and closed connections stayed until a full garbage collection, as connection, parser and llhttp refer to each other.

What is held of an answer, and what its caller has not read, counts; while memory is scarce answers are passed on at once, in small pieces. memory_mb limits connections and open requests too. Parsers break their references when a connection ends.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -14,7 +14,7 @@
 from typing import Any, Protocol, cast
 
 from cometusher.bounded_read import BoundedReadProtocol
-from cometusher.budget import DescriptorBudget
+from cometusher.budget import DescriptorBudget, MemoryBudget
 from cometusher.config import Address
 from cometusher.http1 import LAST_CHUNK, MAX_BODY, Malformed, Response, ResponseParser, chunk
 from cometusher.runtime import Network
@@ -31,6 +31,8 @@
 STREAM_DELAY_UNKNOWN_LENGTH = 0.35  # seconds after which an answer of unknown length is streamed
 STREAM_DELAY_KNOWN_LENGTH = 0.03  # seconds, likewise for a long answer of known length; broken ones end earlier
 STREAM_STALL_TIMEOUT = 12.0  # seconds without a byte after which a streamed answer is broken
+ANSWER_ALLOWANCE = 4 * 1024  # bytes of an answer that are not counted against the memory budget
+SCARCE_READ_BYTES = 4 * 1024  # of one read at most, while memory is scarce
 LATE_SWEEP = 0.2  # seconds since the last sweep, beyond which silence may only mean that nothing was read
 
 
@@ -154,6 +156,7 @@
         self.attempt_started_at = 0.0
         self.last_read_at = 0.0
         self._parser = ResponseParser()
+        self._reserved_bytes = 0  # of the memory budget, for the part of the answer that is held
         self._answer_started_at = 0.0  # when the first byte of the answer arrived; 0 before
         self._streaming_answer = False
         self._stall_reported = False  # the present answer has stalled, and no other attempt took its place
@@ -183,6 +186,10 @@
         assert self.transport is not None
         self.transport.write(data)
 
+    def get_buffer(self, sizehint: int) -> memoryview:
+        buffer = super().get_buffer(sizehint)
+        return buffer[:SCARCE_READ_BYTES] if self._pool.memory.is_scarce else buffer
+
     def data_received(self, data: bytes) -> None:
         self.bytes_read += len(data)
         if self.attempt is None:
@@ -211,8 +218,23 @@
                 self._answer_started_at = 0.0  # 1xx answers don't count: the backend is still working
             else:
                 self._answer_started_at = self._answer_started_at or self.last_read_at
+                if not self._reserve_held(self._parser.response):
+                    self._start_streaming(self._parser.response)
                 self._try_streaming()
 
+    def _reserve_held(self, response: Response) -> bool:
+        """Reserves memory for what is held of an answer; returns False to have it streamed instead."""
+        needed = max(0, len(response.body) - ANSWER_ALLOWANCE)
+        memory = self._pool.memory
+        if needed == self._reserved_bytes or (not memory.is_scarce and memory.reserve(needed - self._reserved_bytes)):
+            self._reserved_bytes = needed
+            return True
+        return not self._parser.head_done or response.status != 200 or self._streaming_answer
+
+    def _release_held(self) -> None:
+        self._pool.memory.release(self._reserved_bytes)
+        self._reserved_bytes = 0
+
     def _try_streaming(self) -> None:
         """Starts to stream the answer if it is long, or if it has no known length and arrives slowly.
 
@@ -243,6 +265,7 @@
             return  # the caller disconnected during the call
         self._streaming_answer = True
         received, response.body = bytes(response.body), bytearray()
+        self._release_held()
         response.body_sink = self._forward
         self._forward(received)
 
@@ -302,6 +325,7 @@
         self.transport = None
         self._on_lost(f"connection lost: {exc}" if exc else "connection closed")
         self._pool.on_closed(self)
+        self._parser.close()
 
     # ---- the request ---------------------------------------------------------------------
 
@@ -382,6 +406,7 @@
                 self.attempt.stream.detach(self)
         self.attempt = None
         self._streaming_answer = self.request_incomplete = self._stall_reported = False
+        self._release_held()
         if self._reading_paused:
             self.set_reading_paused(False)
 
@@ -498,8 +523,10 @@
         descriptors: DescriptorBudget,
         connect_timeout: float,
         idle_timeout: float,
+        memory: MemoryBudget,
     ) -> None:
         self.loop = loop
+        self.memory = memory
         self.network = network
         self.sink = sink
         self._descriptors = descriptors
--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -1,4 +1,4 @@
-"""Budgets of one process: file descriptors, and the memory of request bodies."""
+"""Budgets of one process: file descriptors, and memory."""
 
 from __future__ import annotations
 
@@ -8,6 +8,13 @@
 MANAGEMENT_DESCRIPTORS = 14  # connections and listener of the management address
 IDLE_PROCESS_MB = 28  # memory of an idle process, with a reserve
 IDLE_TWO_PROCESSES_MB = 44  # memory of two idle processes during a hot restart, with a reserve
+CALLER_BYTES = 4 * 1024  # memory of a caller's connection at rest, with a short head
+CALLERS_FRACTION = 0.375  # share of the memory beyond an idle process that callers' connections may take
+MIN_CALLERS = 256  # connections that are accepted however little memory there is
+REQUEST_BYTES = 12 * 1024  # memory of an open request and its attempt, with the parts of an answer in transit
+REQUESTS_FRACTION = 0.25  # share of the memory beyond an idle process that open requests may take
+MIN_REQUESTS = 64  # open requests that are accepted however little memory there is
+SCARCE_FRACTION = 0.5  # share of the memory budget in use above which answers are passed on in small pieces
 TIGHT_FRACTION = 0.8  # share of descriptors in use above which the old process makes room for its successor
 IDLE_FREE_FRACTION = 0.1  # share of descriptors that must be free for a further idle connection to be kept
 BACKEND_FRACTION = 0.25  # share of descriptors that callers can't use
@@ -21,9 +28,9 @@
     fails. Idle connections are closed to make room.
     """
 
-    def __init__(self, sockets: int, reserved: int = RESERVED_DESCRIPTORS) -> None:
+    def __init__(self, sockets: int, reserved: int = RESERVED_DESCRIPTORS, max_callers: int = 2**31) -> None:
         self._reserved = reserved
-        self.resize(sockets)
+        self.resize(sockets, max_callers)
         self.used = 0
         self.caller_count = 0
         self.peak = 0
@@ -34,10 +41,10 @@
         self.report_usage: Callable[[int], None] = lambda used: None  # to those processes
         self._waiting: list[Callable[[], None]] = []
 
-    def resize(self, sockets: int) -> None:
-        """Sets the limit; descriptors in use beyond it are released as their connections end."""
+    def resize(self, sockets: int, max_callers: int = 2**31) -> None:
+        """Sets the limits; descriptors in use beyond them are released as their connections end."""
         self.limit = max(4, sockets - self._reserved)
-        self.caller_limit = max(2, int(self.limit * (1.0 - BACKEND_FRACTION)))
+        self.caller_limit = min(max_callers, max(2, int(self.limit * (1.0 - BACKEND_FRACTION))))
 
     def _acquire(self) -> None:
         self.used += 1
@@ -109,12 +116,13 @@
             on_free()
 
 
-class BodyMemoryBudget:
-    """Limits the bytes of all request bodies together.
+class MemoryBudget:
+    """Limits the bytes of all long heads, request bodies and answers together, and what else peers can take.
 
     Many bodies at once must not exhaust the memory. A body's announced length is reserved as soon as its head has
     arrived, so that no accepted body waits for another. Requests without a reservation are rejected; this affects
-    callers with large bodies while others hold all the memory.
+    callers with large bodies while others hold all the memory. What callers leave unread of their answers is counted
+    as well, but can't be turned away: while memory is scarce, answers are passed on in small pieces.
     """
 
     def __init__(self, memory_mb: int, idle_mb: int = IDLE_PROCESS_MB) -> None:
@@ -126,17 +134,30 @@
         self.report_usage: Callable[[int], None] = lambda used: None  # to those processes
 
     def resize(self, memory_mb: int) -> None:
-        """Sets the limit: a third of what an idle process leaves, as a body is copied once to be sent."""
-        self.limit = max(2, (memory_mb - self._idle_mb) // 3) * 1024 * 1024
+        """Sets the limits: a third of what an idle process leaves for bytes, as a body is copied to be sent."""
+        spare_mb = max(0, memory_mb - self._idle_mb)
+        self.limit = max(2, spare_mb // 3) * 1024 * 1024
+        spare_bytes = spare_mb * 1024 * 1024
+        self.max_callers = max(MIN_CALLERS, int(CALLERS_FRACTION * spare_bytes) // CALLER_BYTES)
+        self.max_requests = max(MIN_REQUESTS, int(REQUESTS_FRACTION * spare_bytes) // REQUEST_BYTES)
 
     def reserve(self, count: int) -> bool:
         """Reserves bytes; returns False if there is no room."""
-        if self.used + self.used_by_others() + count > self.limit:
+        if count > 0 and self.used + self.used_by_others() + count > self.limit:
             return False
+        self.count(count)
+        return True
+
+    def count(self, count: int) -> None:
+        """Counts bytes that are in use whether or not there is room; fewer than before if negative."""
         self.used += count
         self.peak = max(self.peak, self.used)
         self.report_usage(self.used)
-        return True
+
+    @property
+    def is_scarce(self) -> bool:
+        """Whether little of the budget is left."""
+        return self.used + self.used_by_others() > SCARCE_FRACTION * self.limit
 
     def release(self, count: int) -> None:
         """Releases reserved bytes."""
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING, Any, Protocol, cast
 
 from cometusher.bounded_read import BoundedReadProtocol
-from cometusher.budget import BodyMemoryBudget, DescriptorBudget
+from cometusher.budget import DescriptorBudget, MemoryBudget
 from cometusher.http1 import (
     CONTINUE,
     LAST_CHUNK,
@@ -46,6 +46,7 @@
 EVICT_LINGERING_AFTER = 0.1  # seconds after which a lingering connection may be evicted
 MAX_EVICTIONS = 16  # of such connections at once, as they arrive by the hundred
 LINGER_TIMEOUT = 0.5  # seconds in which input is read and discarded before a close
+HIGH_WATER, SCARCE_HIGH_WATER = 16 * 1024, 4 * 1024  # unread bytes of a streamed answer at which its backend waits
 HEAD_ALLOWANCE = 2048  # bytes of memory of a head that are not counted
 MAX_LINGER_BYTES = 256 * 1024  # of discarded input
 BODY_LINGER_TIMEOUT = 30.0  # seconds in which the rest of an unwanted body is read and discarded
@@ -114,6 +115,7 @@
         self._answer_chunked = False  # the streamed answer
         self._streaming_answer = False  # begin_answer was called, end_answer not yet
         self._unsent_bytes = 0  # size of the write buffer at the last check
+        self._counted_bytes = 0  # of it, as the memory budget has them
         self._discarding_body = False  # the rest of the current request's body is unwanted
         self.has_carried_request = False  # at least one complete request has arrived
         self.state_since = 0.0  # when the present state began, for timeouts
@@ -133,6 +135,7 @@
         transport = cast(asyncio.Transport, transport)  # uvloop's transports are no subclasses of it
         self._transport = transport
         self.state_since = self._callers.loop.time()
+        transport.set_write_buffer_limits(HIGH_WATER)
         self._callers.on_opened(self)
         if self.on_connected is not None:
             up, self.on_connected = self.on_connected, None
@@ -193,16 +196,20 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         self._transport = None
+        self._count_unsent()
         self._on_disconnect()
         self._callers.on_closed(self)
+        self._parser.close()
 
     def pause_writing(self) -> None:
         self.state_since = self._callers.loop.time()
+        self._count_unsent()
         if self._streaming_answer and self._accepted is not None:
             self._accepted.on_answer_blocked(True)
 
     def resume_writing(self) -> None:
         self.state_since = self._callers.loop.time()
+        self._count_unsent()
         if self._streaming_answer and self._accepted is not None:
             self._accepted.on_answer_blocked(False)
 
@@ -377,6 +384,13 @@
         if transport.can_write_eof() and not transport.is_closing():
             transport.write_eof()
 
+    def _count_unsent(self) -> None:
+        """Counts what the caller has not read of its answers against the memory budget."""
+        unsent = self._transport.get_write_buffer_size() if self._transport is not None else 0
+        if unsent != self._counted_bytes:
+            self._callers.memory.count(unsent - self._counted_bytes)
+            self._counted_bytes = unsent
+
     # ---- answering -----------------------------------------------------------------------
 
     def begin_answer(self, status: int, headers: Headers, length: int | None) -> None:
@@ -386,6 +400,9 @@
         self._answer_chunked = length is None and not self._request.http10
         self._streaming_answer = True
         self._unsent_bytes = 0
+        if self._transport is not None:
+            scarce = self._callers.memory.is_scarce
+            self._transport.set_write_buffer_limits(SCARCE_HIGH_WATER if scarce else HIGH_WATER)
         self.state_since = self._callers.loop.time()
         if length is not None:
             headers.append((b"content-length", b"%d" % length))
@@ -403,6 +420,8 @@
         """Writes the next bytes of the streamed answer."""
         if self._transport is not None and data:
             self._write(chunk(data) if self._answer_chunked else data)
+            if self._transport.get_write_buffer_size() > HIGH_WATER:  # else it has yet to be offered to the system
+                self._count_unsent()
 
     def end_answer(self) -> None:
         """Ends the streamed answer."""
@@ -587,7 +606,8 @@
         transport = self._transport
         if transport is None:
             return
-        unsent = transport.get_write_buffer_size()
+        self._count_unsent()
+        unsent = self._counted_bytes
         if unsent > 0:
             if unsent < self._unsent_bytes:
                 self.state_since = now
@@ -644,7 +664,7 @@
         network: Network,
         handler: RequestHandler,
         descriptors: DescriptorBudget,
-        memory: BodyMemoryBudget,
+        memory: MemoryBudget,
     ) -> None:
         self.loop = loop
         self.network = network
--- a/cometusher/http1.py
+++ b/cometusher/http1.py
@@ -320,6 +320,11 @@
         self.current = None
         self._headers, self._body_parts = [], []
 
+    def close(self) -> None:
+        """Ends the use of the parser; breaks the references between it and its owner, so that both are freed now."""
+        self.discard()
+        del self._parser, self._sink
+
     def _pass_body_on(self) -> None:
         """Passes the parts of a body on as one, since a chunk may hold a single byte."""
         parts, self._body_parts = self._body_parts, []
@@ -371,6 +376,11 @@
             self.has_surplus = True
         return self._take_answer()
 
+    def close(self) -> None:
+        """Ends the use of the parser; breaks the references between it and its owner, so that both are freed now."""
+        self.response = None
+        del self._parser
+
     def finish(self) -> Response | None:
         """The peer has closed its side: returns an answer that is delimited by the close, else None."""
         if self.response is not None and self.head_done and self.response.until_eof:
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -22,8 +22,8 @@
     IDLE_TWO_PROCESSES_MB,
     MANAGEMENT_DESCRIPTORS,
     RESERVED_DESCRIPTORS,
-    BodyMemoryBudget,
     DescriptorBudget,
+    MemoryBudget,
 )
 from cometusher.callers import CallerConnection, Callers
 from cometusher.config import Config
@@ -230,10 +230,10 @@
         self.servers_by_host: dict[str, ServerId] = {}  # backends by their name in discovery
         reserved = RESERVED_DESCRIPTORS + (MANAGEMENT_DESCRIPTORS if config.management else 0)
         processes = 2 if config.shared_folder else 1  # a hot restart runs two processes for a while
-        self.descriptors = DescriptorBudget(config.sockets, processes * reserved)
-        self.memory = BodyMemoryBudget(
+        self.memory = MemoryBudget(
             config.memory_mb, IDLE_TWO_PROCESSES_MB if config.shared_folder else IDLE_PROCESS_MB
         )
+        self.descriptors = DescriptorBudget(config.sockets, processes * reserved, self.memory.max_callers)
         self.callers = Callers(loop, self.network, self, self.descriptors, self.memory)
         self.backends = Backends(
             loop,
@@ -242,6 +242,7 @@
             self.descriptors,
             settings.limits.connect_timeout,
             settings.limits.connection_idle,
+            self.memory,
         )
         self.balancer = Balancer(settings, config.seed)
         self._rng = Random(config.seed + 1)  # for the proxy's own jitter; the balancer's sequence stays reproducible
@@ -345,8 +346,8 @@
         """Applies those parts of a new configuration that can change while requests are open."""
         old = self.config
         self.config = replace(old, discovery=new.discovery, sockets=new.sockets, memory_mb=new.memory_mb)
-        self.descriptors.resize(new.sockets)
         self.memory.resize(new.memory_mb)
+        self.descriptors.resize(new.sockets, self.memory.max_callers)
         self.discovery.change_address(new.discovery)
         log.info("configuration reloaded; discovery is at %s:%d", *new.discovery)
         if (new.listen, new.settings, new.zones) != (old.listen, old.settings, old.zones):
@@ -523,6 +524,8 @@
             return None
         try:
             terms = self.validate(request)
+            if len(self._exchanges) >= self.memory.max_requests:
+                raise Malformed(503, "no memory for requests")
         except Malformed as error:
             self._increment("malformed")
             caller.reject(error)
--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -225,7 +225,7 @@
     async def test() -> None:
         async with rig(serve_ok) as r:
             sink: Any = Sink()
-            pool = Backends(r.proxy.loop, r.proxy.network, sink, r.proxy.descriptors, 1.0, 5.0)
+            pool = Backends(r.proxy.loop, r.proxy.network, sink, r.proxy.descriptors, 1.0, 5.0, r.proxy.memory)
             pool.reuse.on_late_input(r.proxy.loop.time(), 2.0 * MIN_REST)
             with socket.create_server(("127.0.0.1", 0)) as listener:
                 own = socket.create_connection(listener.getsockname())
--- a/tests/loopback/test_memory.py
+++ b/tests/loopback/test_memory.py
@@ -3,12 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+import socket
+from pathlib import Path
 
 import pytest
-from rig import request, rig, serve_ok, until
+from rig import Backend, Message, Writer, reply, request, rig, serve_ok, until
+from test_process import connect, proxy_process
 from test_proxy import run
 
 from cometusher.bounded_read import READ_BYTES
+from cometusher.budget import IDLE_PROCESS_MB
 from cometusher.callers import CallerConnection
 from cometusher.http1 import MAX_FIELDS
 
@@ -86,3 +91,73 @@
             assert connection._parser._headers == [] == kept._parser._headers
 
     run(test)
+
+
+LONG_ANSWER = 5_000_000  # bytes
+CLIENTS = 450
+PRESSURE_SECONDS = 3.0
+
+
+async def answer_long(backend: Backend, seen: Message, writer: Writer) -> None:
+    """Writes a long answer to the requests that ask for one."""
+    if seen.headers[b"x-call-class"] != b"submit":
+        writer.write(reply(200, b"short"))
+        return
+    writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % LONG_ANSWER)
+    for _ in range(LONG_ANSWER // 50_000):
+        writer.write(b"x" * 50_000)
+        await writer.drain()
+
+
+async def press(port: int, number: int, over: asyncio.Event) -> None:
+    """Takes what memory it can, on one connection at a time: fields, half a body, or an answer that is not read."""
+    key = b"Idempotency-Key: %d" % number
+    while not over.is_set():
+        reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=4096)
+        writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        if number % 3 == 0:
+            writer.write(request(extra=(b"a:b",) * 450))
+        elif number % 3 == 1:
+            writer.write(request(kind="submit", request_id=str(number), extra=(b"Content-Length: 1000000",)))
+            writer.write(b"x" * 500_000)
+        else:
+            writer.write(request(kind="submit", request_id=str(number)).replace(b"Idempotency-Key: k1", key))
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(over.wait(), PRESSURE_SECONDS)
+        with contextlib.suppress(OSError, TimeoutError):
+            await asyncio.wait_for(reader.read(200), PRESSURE_SECONDS)
+        writer.close()
+        await asyncio.sleep(0.02)
+
+
+def memory_kb(pid: int, name: str) -> int:
+    """A figure of the system's on a process's memory."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    return int(next(line.split()[1] for line in status.splitlines() if line.startswith(name + ":")))
+
+
+def test_process_stays_under_the_least_memory_that_may_be_set(tmp_path: Path) -> None:
+    """Guards against a process that is killed, as hundreds of clients each make it hold something."""
+    limits = {"memory_mb": 32, "sockets": 1024}
+
+    async def test() -> None:
+        backends = [Backend(number, answer_long) for number in (1, 2)]
+        for backend in backends:
+            await backend.start()
+        hosts = [backend.discovery_entry() for backend in backends]
+        async with proxy_process(tmp_path, hosts, limits=limits) as (process, port):
+            idle = memory_kb(process.pid, "VmRSS")
+            over = asyncio.Event()
+            clients = [asyncio.create_task(press(port, number, over)) for number in range(CLIENTS)]
+            await asyncio.sleep(PRESSURE_SECONDS)
+            peak = memory_kb(process.pid, "VmHWM")
+            over.set()
+            await asyncio.gather(*clients, return_exceptions=True)
+            assert process.returncode is None
+            assert peak - idle <= (limits["memory_mb"] - IDLE_PROCESS_MB) * 1024
+            usual = await connect(port)
+            assert (await usual.call(request_id="usual"))[0] == 200
+        for backend in backends:
+            await backend.stop()
+
+    run(test)
--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -30,7 +30,7 @@
 
 @contextlib.asynccontextmanager
 async def proxy_process(
-    tmp_path: Path, hosts: list[dict[str, Any]], discovery_port: int = 0
+    tmp_path: Path, hosts: list[dict[str, Any]], discovery_port: int = 0, limits: dict[str, int] | None = None
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     """Start a proxy process that knows these entries of discovery, and wait until it is ready."""
     port = free_ports(1)[0]
@@ -40,7 +40,7 @@
         "listen": f"127.0.0.1:{port}",
         "discovery": discovery,
         "seed": "ab",
-        "limits": {"memory_mb": 192, "sockets": 128},
+        "limits": limits or {"memory_mb": 192, "sockets": 128},
         "extra": 1,
         "known": {"seq": 1, "whole": True, "hosts": hosts},
         "settings": SETTINGS,
