A connection that was made before its backend moved or restarted carries no request

Only connections in the pool were checked.

The attempt ends as one that never ran, and the request goes on. A new process that discovery has not reported can't be told apart, as nothing names it.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -695,6 +695,15 @@
             connection.close(CloseReason.UNREAD_INPUT)
             self.finish(attempt, Outcome.UNREACHABLE, None, "closed or written to by the backend before the request")
             return
+        if (
+            self._backends.get(attempt.server) is not backend
+            or connection.address != backend.address
+            or connection.backend_started_at != backend.started_at
+        ):
+            # Another process may have the address by now, and may be the one that has accepted the connection.
+            connection.close(CloseReason.BACKEND_CHANGED)
+            self.finish(attempt, Outcome.UNREACHABLE, None, "its backend moved, restarted or went while connecting")
+            return
         if not self.sink.may_start(attempt):
             # Something has changed while the connection was made: see `Balancer.may_start`.
             self.return_to_pool(connection)
