The id of a request that may have run is not accepted again

An id was free as soon as its request had ended, so the same unsafe or keyed request ran again (both backends' and callers' view in the tests).

test_broken_answer_is_retried_on_the_only_backend sent two different requests under one id; the second has its own now, with the same check.

--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -11,6 +11,7 @@
 import contextlib
 import logging
 import socket
+from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import replace
 from random import Random
@@ -66,6 +67,7 @@
     ManagementCall,
     Operations,
 )
+from weldroute.recent_ids import RecentIds
 
 if TYPE_CHECKING:
     from cometusher.hot_restart import HotRestart
@@ -91,6 +93,8 @@
     0.7  # seconds before the forced end at which the last request is accepted; most answers take less
 )
 DRAIN_POLL_INTERVAL = 0.05  # seconds between the steps of a drain
+MAX_SHARED_RECENT_IDS = 256  # ids of ended requests that other processes of this proxy see
+SHARED_ID_RETENTION = 10.0  # seconds for which they see one: longer than two processes serve beside each other
 INTERNAL_HEADERS = frozenset({b"x-load-report", b"x-rejected"})  # exchanged between backends and proxies only
 
 
@@ -131,6 +135,7 @@
         "headers",
         "journal_slot",
         "last_failure",
+        "may_have_run",
         "open_attempts",
         "open_id_slot",
         "proxy",
@@ -172,6 +177,7 @@
         self.open_id_slot = 0  # where other processes of this proxy see that its call id is open
         self.answered = False
         self.timer: asyncio.TimerHandle | None = None
+        self.may_have_run = False  # an attempt that may have run has ended
         self.last_failure = ""  # how the last failed attempt ended, for the log
 
     @property
@@ -249,6 +255,9 @@
         self._terms_reader = RequestTermsReader(settings)
         self._exchanges: dict[str, Exchange] = {}
         self._open_ids: set[bytes] = set()  # X-Call-Id of every open exchange
+        self._recent_ids = RecentIds()  # of ended ones that may have run, and may not run again
+        #: Of these, the ones that other processes of this proxy see: until when, and their slots.
+        self._shared_recent_ids: deque[tuple[float, int]] = deque()
         self._typical_budgets = [0.0 for _ in settings.classes]  # smoothed seconds that callers allow, by class
         self._latest_deadline = float("inf")  # limits all deadlines once the process is about to end
         self._request_count = 0
@@ -403,6 +412,7 @@
             self.recovery.tick()
         if self._hot_restart is not None:
             self._hot_restart.tick()
+            self._expire_shared_ids(self._hot_restart)
         self.apply_listener_state()
         self.callers.sweep()
         if self.management is not None:
@@ -625,6 +635,7 @@
         """
         for number, (prior, connection) in enumerate(zip(prior_attempts, connections, strict=True)):
             attempt = Attempt(exchange, number, prior.server, prior.sent, exchange.repeat, exchange.call_id)
+            exchange.may_have_run |= prior.maybe_ran
             attempt.journal_index = number
             attempt.ended = connection is None
             exchange.attempts.append(attempt)
@@ -744,6 +755,8 @@
             self._hot_restart is not None and self._hot_restart.open_ids.is_open_elsewhere(terms.call_id)
         ):
             raise Malformed(409, "X-Call-Id of an open request")
+        if self._recent_ids.contains(self.loop.time(), terms.call_id):
+            raise Malformed(409, "X-Call-Id of an earlier request")
         return terms
 
     def on_caller_left(self, exchange: Exchange) -> None:
@@ -802,11 +815,27 @@
             self._stop_timer(exchange)
             if self._exchanges.pop(exchange.request_id, None) is not None:
                 self._open_ids.discard(exchange.call_id)
-                if self._hot_restart is not None:
-                    self._hot_restart.open_ids.close(exchange.open_id_slot)
+                self._forget_id(exchange)
             # An exchange and its attempts refer to each other; breaking the cycle frees them without the collector.
             exchange.attempts.clear()
 
+    def _forget_id(self, exchange: Exchange) -> None:
+        """Makes the id of an ended request free, at once only if it may run again."""
+        keeps_id = exchange.may_have_run and exchange.repeat is not Repeat.SAFE
+        if keeps_id:
+            self._recent_ids.add(self.loop.time(), exchange.call_id)
+        if self._hot_restart is None:
+            return
+        if keeps_id and len(self._shared_recent_ids) < MAX_SHARED_RECENT_IDS:
+            self._shared_recent_ids.append((self.loop.time() + SHARED_ID_RETENTION, exchange.open_id_slot))
+        else:
+            self._hot_restart.open_ids.close(exchange.open_id_slot)
+
+    def _expire_shared_ids(self, hot_restart: HotRestart) -> None:
+        """Makes the ids of ended requests free for other processes of this proxy after a while."""
+        while self._shared_recent_ids and self._shared_recent_ids[0][0] <= self.loop.time():
+            hot_restart.open_ids.close(self._shared_recent_ids.popleft()[1])
+
     def _abandon(self, exchange: Exchange) -> None:
         """Fails a request after an exception in the balancer or in an action, and cancels its attempts."""
         if not exchange.answered:
@@ -1001,6 +1030,7 @@
             server = self.balancer.servers.get(attempt.server)
             if server is not None:
                 self.traffic_counters.on_attempt_ended(server.row.zone, outcome, latency)
+        exchange.may_have_run |= outcome not in NEVER_RAN
         if self.inflight is not None and outcome is not Outcome.OK:
             self.inflight.on_attempt_failed(attempt, exchange, outcome in NEVER_RAN)
         if self.recovery is not None:
--- a/cometusher/simulation/container_audit.py
+++ b/cometusher/simulation/container_audit.py
@@ -11,6 +11,8 @@
 from typing import Any
 
 from cometusher.backends import CloseReason
+from cometusher.proxy import MAX_SHARED_RECENT_IDS
+from weldroute.recent_ids import MAX_IDS
 
 CONTAINER_TYPES = (dict, list, set, deque, bytearray)
 AUDITED_MODULES = ("cometusher.", "weldroute.")
@@ -37,7 +39,9 @@
     "RequestTermsReader._tenant_indices": (2, 0),
     "Proxy._typical_budgets": (3, 0),
     "Balancer.first_call_due": (0, 1),
+    "Proxy._shared_recent_ids": (MAX_SHARED_RECENT_IDS, 0),
     "Proxy.servers_by_host": (0, 1),
+    "RecentIds._expires_at": (MAX_IDS, 0),
     "Proxy.counters": (16 + len(CloseReason), 0),
     "Proxy._reported_counters": (16 + len(CloseReason), 0),
     "AdmissionControl.asked": (12, 0),
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -321,7 +321,9 @@
             assert (await r.call(kind="submit"))[0] == 200
             assert len(r.seen) == 2
             broken = True
-            assert (await r.call(kind="once"))[0] == 502  # unsafe: never repeated once it may have run
+            assert (await r.call(kind="once", request_id="2"))[
+                0
+            ] == 502  # unsafe: never repeated once it may have run
             assert len(r.seen) == 3
 
     run(test)
