Counting the memory of heads and answers costs less on the usual path

The sums of a head are derived where they are needed, and nothing is reserved or released where nothing is held.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -188,7 +188,7 @@
 
     def get_buffer(self, sizehint: int) -> memoryview:
         buffer = super().get_buffer(sizehint)
-        return buffer[:SCARCE_READ_BYTES] if self._pool.memory.is_scarce else buffer
+        return buffer[:SCARCE_READ_BYTES] if self._streaming_answer and self._pool.memory.is_scarce else buffer
 
     def data_received(self, data: bytes) -> None:
         self.bytes_read += len(data)
@@ -232,8 +232,9 @@
         return not self._parser.head_done or response.status != 200 or self._streaming_answer
 
     def _release_held(self) -> None:
-        self._pool.memory.release(self._reserved_bytes)
-        self._reserved_bytes = 0
+        if self._reserved_bytes:
+            self._pool.memory.release(self._reserved_bytes)
+            self._reserved_bytes = 0
 
     def _try_streaming(self) -> None:
         """Starts to stream the answer if it is long, or if it has no known length and arrives slowly.
--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -145,7 +145,8 @@
         """Reserves bytes; returns False if there is no room."""
         if count > 0 and self.used + self.used_by_others() + count > self.limit:
             return False
-        self.count(count)
+        if count:
+            self.count(count)
         return True
 
     def count(self, count: int) -> None:
@@ -161,5 +162,6 @@
 
     def release(self, count: int) -> None:
         """Releases reserved bytes."""
-        self.used -= count
-        self.report_usage(self.used)
+        if count:
+            self.used -= count
+            self.report_usage(self.used)
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -286,10 +286,11 @@
 
     def _reserve_head(self, request: Request) -> None:
         """Reserves memory for what has come of a head; raises Malformed if there is none."""
-        needed = max(0, self._parser.head_memory - HEAD_ALLOWANCE)
-        if not self._callers.memory.reserve(needed - request.reserved_head_bytes):
-            raise Malformed(503, "no memory for heads")
-        request.reserved_head_bytes = needed
+        needed = self._parser.head_memory - HEAD_ALLOWANCE
+        if needed > request.reserved_head_bytes:
+            if not self._callers.memory.reserve(needed - request.reserved_head_bytes):
+                raise Malformed(503, "no memory for heads")
+            request.reserved_head_bytes = needed
 
     def on_request_head(self, request: Request) -> None:
         self._head_complete_at = self._last_read_at
--- a/cometusher/http1.py
+++ b/cometusher/http1.py
@@ -16,6 +16,7 @@
 Headers = list[tuple[bytes, bytes]]
 
 MAX_HEAD = 16 * 1024  # bytes of a head, of trailers, and of the framing of a body
+FIELD_COST = 32  # bytes that a field counts beside its name and value
 MAX_FIELDS = 100  # lines of a head
 FIELD_OVERHEAD = 150  # bytes of memory that a field takes beside its name and value
 MAX_BODY = 64 * 1024  # bytes of a body, in either direction, that is buffered; a longer one is streamed
@@ -178,23 +179,27 @@
         self._overhead_bytes = 0  # bytes since the start of the message that were not body
         self._head_bytes = 0  # bytes of its headers, and the cost of storing them
         self._headers: Headers = []
-        self.head_memory = 0  # bytes of memory that the head takes, or has taken
         self.head_done = False
 
     def _reset(self) -> None:
         self._headers = []
-        self._overhead_bytes = self._head_bytes = self.head_memory = 0
+        self._overhead_bytes = self._head_bytes = 0
         self.head_done = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         if self.head_done:
             return  # a trailer, which is ignored
         # The bytes read so far are no measure: the read that ends a head may contain a whole body.
-        self._head_bytes += len(name) + len(value) + 32
-        self.head_memory += len(name) + len(value) + FIELD_OVERHEAD
-        if self._head_bytes > MAX_HEAD or len(self._headers) >= MAX_FIELDS:
+        self._head_bytes += len(name) + len(value) + FIELD_COST
+        headers = self._headers
+        if self._head_bytes > MAX_HEAD or len(headers) >= MAX_FIELDS:
             raise Malformed(431, "head too large")
-        self._headers.append((name.lower(), value.strip()))
+        headers.append((name.lower(), value.strip()))
+
+    @property
+    def head_memory(self) -> int:
+        """Bytes of memory that the present head takes so far."""
+        return self._head_bytes + (FIELD_OVERHEAD - FIELD_COST) * len(self._headers)
 
     def _framing(self) -> tuple[int | None, bool]:
         """Returns the announced length, if any, and whether the body is chunked; raises Malformed.
--- a/cometusher/request_terms.py
+++ b/cometusher/request_terms.py
@@ -8,7 +8,7 @@
 from weldroute import Repeat, Settings
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(slots=True)
 class RequestTerms:
     """The terms of a request, all of them valid."""
 
