Log: stalls, starts of streaming, held-back bodies; rare causes are not suppressed

Each cause has a bucket now, the stall of an answer and the start of its streaming have lines and counters, and a deadline says what came of a long body.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -719,7 +719,7 @@
         Returns its progress, for the log.
         """
         attempt.ended = True
-        progress = attempt.connection.progress() if attempt.connection is not None else "not connected"
+        progress = self.progress(attempt)
         if attempt.connect_task is not None:
             attempt.connect_task.cancel()
             attempt.connect_task = None
@@ -727,6 +727,10 @@
             attempt.connection.close(CloseReason.ATTEMPT_CANCELLED)
         return progress
 
+    def progress(self, attempt: Attempt) -> str:
+        """Describes the progress of an attempt, for the log."""
+        return attempt.connection.progress() if attempt.connection is not None else "not connected"
+
     def break_off(self, attempt: Attempt) -> None:
         """Ends an attempt whose answer does not go on, and reports it as broken."""
         if attempt.connection is not None:
@@ -779,8 +783,9 @@
         self._busy.pop(connection, None)
         self.remove_from_pool(connection)
         self._descriptors.release_backend()
-        log.info("%s ended: %s", connection, connection.close_reason.value)
-        self.sink.on_backend_connection_closed(connection.close_reason)
+        reason = connection.close_reason
+        log.info("%s ended: %s", connection, reason.value, extra={"cause": reason.name})
+        self.sink.on_backend_connection_closed(reason)
 
     def _discard(self, connection: BackendConnection, reason: CloseReason) -> None:
         self.remove_from_pool(connection)
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -808,7 +808,8 @@
         if connection in self._connections:
             del self._connections[connection]
             self._descriptors.release_caller()
-            log.info("a caller's connection ended: %s", connection.close_reason.value)
+            reason = connection.close_reason
+            log.info("a caller's connection ended: %s", reason.value, extra={"cause": reason.name})
         if self._draining and not self._connections:
             self.all_closed.set()
 
--- a/cometusher/logs.py
+++ b/cometusher/logs.py
@@ -23,18 +23,19 @@
 class RateLimit(logging.Filter):
     """Limits the records per second from each source line with a token bucket.
 
-    Without it the log would grow with the load, and writing could block on a log that nobody reads.
+    Without it the log would grow with the load, and writing could block on a log that nobody reads. Records of one
+    line that differ in their attribute `cause` have buckets of their own: a frequent cause must not hide a rare one.
     """
 
     def __init__(self, per_second: float = 2.0, burst: float = 10.0) -> None:
         super().__init__()
         self._per_second = per_second
         self._burst = burst
-        # By source line: tokens, time of the last record, suppressed records.
+        # By source line and cause: tokens, time of the last record, suppressed records.
         self._buckets: dict[str, tuple[float, float, int]] = {}
 
     def filter(self, record: logging.LogRecord) -> bool:
-        source_line = f"{record.pathname}:{record.lineno}"
+        source_line = f"{record.pathname}:{record.lineno}:{getattr(record, 'cause', '')}"
         now = time.monotonic()
         tokens, last_at, suppressed = self._buckets.get(source_line, (self._burst, now, 0))
         tokens = min(self._burst, tokens + (now - last_at) * self._per_second)
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -197,6 +197,14 @@
         """Seconds that are certainly left of its budget if the last byte of its body was read now."""
         return self.budget - self.caller.body_delay.total(self.proxy.loop.time())
 
+    @property
+    def body_progress(self) -> str:
+        """How much of a streamed body has arrived, and how long it was held back, for the log; empty for others."""
+        if self.request.stream is None:
+            return ""
+        held_back = self.caller.body_delay.total(self.proxy.loop.time())
+        return f"; {self.request.stream.size} bytes of its body have come, held back for {held_back:.3f} s"
+
     def on_caller_left(self) -> None:
         self.proxy.on_caller_left(self)
 
@@ -801,7 +809,7 @@
         for attempt in list(exchange.attempts):
             if not attempt.ended:
                 outcome = Outcome.UNREACHABLE if attempt.never_complete else Outcome.TIMEOUT
-                progress = self.backends.cancel(attempt)
+                progress = self.backends.cancel(attempt) + exchange.body_progress
                 # If the machine has vanished, its idle connections are dead too.
                 self.backends.drop_idle(attempt.server, CloseReason.BACKEND_SILENT)
                 self.on_attempt_ended(attempt, outcome, None, f"no answer by the deadline: {progress}")
@@ -988,6 +996,17 @@
             return False
         exchange.answered = True
         exchange.streaming_attempt = attempt
+        self._increment("streamed")
+        now = self.clock.now()
+        log.info(
+            "request %s: the answer of backend %x is streamed, %.1f ms after its attempt began, %.1f ms before the "
+            "deadline: %s",
+            loggable_id(exchange.call_id),
+            attempt.server,
+            (now - attempt.sent_at) * 1000.0,
+            (exchange.deadline - now) * 1000.0,
+            self.backends.progress(attempt),
+        )
         self._stop_timer(exchange)
         exchange.caller.begin_answer(200, _forwarded_headers(response), response.length)
         self._dispatch(
@@ -1001,6 +1020,14 @@
         assert isinstance(exchange, Exchange)
         if exchange.answered:
             return False
+        self._increment("stalled")
+        log.info(
+            "request %s: the answer of backend %x stalls, with %d attempts out: %s",
+            loggable_id(exchange.call_id),
+            attempt.server,
+            exchange.open_attempts,
+            self.backends.progress(attempt),
+        )
         if exchange.open_attempts > 1:  # the others go on
             self.backends.break_off(attempt)
             return True
