--- a/tests/test_process.py
+++ b/tests/test_process.py
@@ -13,7 +13,20 @@
 
 import orjson
 import pytest
-from rig import PEER_TIMEOUT, SETTINGS, Backend, Caller, Discovery, Message, Script, Writer, reply, request, serve_ok
+from rig import (
+    PEER_TIMEOUT,
+    SETTINGS,
+    Backend,
+    Caller,
+    Discovery,
+    Message,
+    Script,
+    Writer,
+    merge_settings,
+    reply,
+    request,
+    serve_ok,
+)
 from test_proxy import run
 
 from standins.ports import free_ports
@@ -30,7 +43,11 @@
 
 @contextlib.asynccontextmanager
 async def proxy_process(
-    tmp_path: Path, hosts: list[dict[str, Any]], discovery_port: int = 0, limits: dict[str, int] | None = None
+    tmp_path: Path,
+    hosts: list[dict[str, Any]],
+    discovery_port: int = 0,
+    limits: dict[str, int] | None = None,
+    settings: dict[str, Any] | None = None,
 ) -> AsyncIterator[tuple[asyncio.subprocess.Process, int]]:
     """Start a proxy process that knows these entries of discovery, and wait until it is ready."""
     port = free_ports(1)[0]
@@ -43,7 +60,7 @@
         "limits": limits or {"memory_mb": 192, "sockets": 128},
         "extra": 1,
         "known": {"seq": 1, "whole": True, "hosts": hosts},
-        "settings": SETTINGS,
+        "settings": merge_settings(SETTINGS, settings or {}),
     }
     path = tmp_path / "config.json"
     path.write_bytes(orjson.dumps(config))
