A slow answer goes on beside another attempt, until one of them is complete

After 0.3 s without a byte the attempt was given up for another one, and so was the next: a pause says that an answer is slow, not that another one will be faster, and each new attempt starts at its first byte.

weldroute/partial_answer.py: a slow attempt is kept. Where only one attempt may be out, a long answer is streamed at once, and a short one replaced once. An attempt that is overtaken counts as broken, as before.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 from bisect import bisect_right
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import Any, Protocol, cast
 
@@ -22,11 +22,12 @@
 from weldroute import Outcome, Repeat
 from weldroute.connection_reuse import ConnectionReuse
 from weldroute.model import ServerId
+from weldroute.partial_answer import AnswerStep, PartialAnswer
 
 log = logging.getLogger(__name__)
 
 IMMEDIATE_RESET_WINDOW = 0.05  # seconds; a reset within them means that the connection was dead before the write
-ANSWER_STALL_TIMEOUT = 0.3  # seconds without a byte after which a partial answer is broken
+ANSWER_STALL_TIMEOUT = 0.3  # seconds without a byte after which a partial answer is slow
 ANSWER_READ_TIMEOUT = 1.0  # seconds from first to last byte of an answer that is not streamed
 STREAM_DELAY_UNKNOWN_LENGTH = 0.35  # seconds after which an answer of unknown length is streamed
 STREAM_DELAY_KNOWN_LENGTH = 0.03  # seconds, likewise for a long answer of known length; broken ones end earlier
@@ -65,8 +66,8 @@
     def on_answer_started(self, attempt: Attempt, response: Response) -> bool:
         """A long answer has begun; returns whether to stream it by `on_answer_data`."""
 
-    def on_answer_stalled(self, attempt: Attempt) -> bool:
-        """An answer has begun and does not go on; returns whether another attempt takes the place of this one."""
+    def seek_alternative(self, attempt: Attempt, may_replace: bool) -> bool:
+        """An answer has begun and is slow; returns whether another attempt runs beside this one, or replaces it."""
 
     def on_answer_data(self, attempt: Attempt, data: bytes) -> None:
         """The next bytes of a streamed answer."""
@@ -159,7 +160,7 @@
         self._reserved_bytes = 0  # of the memory budget, for the part of the answer that is held
         self._answer_started_at = 0.0  # when the first byte of the answer arrived; 0 before
         self._streaming_answer = False
-        self._stall_reported = False  # the present answer has stalled, and no other attempt took its place
+        self.partial_answer = PartialAnswer()  # the present answer
         self._reading_paused = False  # because the caller's write buffer is full
         self.request_incomplete = False  # the last byte of the request is not written yet
         self._write_blocked = False  # the write buffer towards the backend is full
@@ -219,7 +220,7 @@
             else:
                 self._answer_started_at = self._answer_started_at or self.last_read_at
                 if not self._reserve_held(self._parser.response):
-                    self._start_streaming(self._parser.response)
+                    self.start_streaming()
                 self._try_streaming()
 
     def _reserve_held(self, response: Response) -> bool:
@@ -255,12 +256,12 @@
             elif elapsed < STREAM_DELAY_KNOWN_LENGTH:
                 self._pool.loop.call_later(STREAM_DELAY_KNOWN_LENGTH, self._retry_streaming, response)
                 return
-        self._start_streaming(response)
+        self.start_streaming()
 
-    def _start_streaming(self, response: Response) -> None:
+    def start_streaming(self) -> None:
         """Passes on what has come of the answer, and the rest as it comes."""
-        attempt = self.attempt
-        if attempt is None or not self._pool.sink.on_answer_started(attempt, response):
+        attempt, response = self.attempt, self._parser.response
+        if attempt is None or response is None or not self._pool.sink.on_answer_started(attempt, response):
             return
         if self.attempt is not attempt:
             return  # the caller disconnected during the call
@@ -353,6 +354,7 @@
         self.last_call_id = attempt.call_id
         self.attempt_started_at = self.last_read_at = self._pool.loop.time()
         self._answer_started_at = 0.0
+        self.partial_answer = PartialAnswer()
 
     def is_silent(self) -> bool:
         """Whether the connection is up and nothing has arrived on it, so that it can carry a request.
@@ -406,7 +408,7 @@
             if self.attempt.stream is not None:
                 self.attempt.stream.detach(self)
         self.attempt = None
-        self._streaming_answer = self.request_incomplete = self._stall_reported = False
+        self._streaming_answer = self.request_incomplete = False
         self._release_held()
         if self._reading_paused:
             self.set_reading_paused(False)
@@ -446,33 +448,47 @@
         else:
             self._pool.finish(attempt, Outcome.BROKEN, None, reason)
 
-    def check_stalled(self, now: float) -> None:
-        """Acts on an answer that has begun and then stalls, or arrives too slowly.
-
-        While it can, another attempt takes its place, instead of waiting until the deadline for the rest of an answer
-        that never comes. Where there is none, a short answer is waited for, and a long one is streamed: it may be
-        sound and only slow. The cost: a sound answer that is delayed for as long is asked for again.
-        """
-        if self.attempt is None or not self._answer_started_at or self._reading_paused:
+    def check_progress(self, now: float) -> None:
+        """Acts on an answer that has begun and then pauses, or takes long: see `weldroute/partial_answer.py`."""
+        attempt = self.attempt
+        if attempt is None or not self._answer_started_at or self._reading_paused:
             return
+        pause = now - self.last_read_at
         if self._streaming_answer:
-            if now - self.last_read_at > STREAM_STALL_TIMEOUT:
+            if pause > STREAM_STALL_TIMEOUT:
                 self.break_off()
-        elif now - self.last_read_at > ANSWER_STALL_TIMEOUT or now - self._answer_started_at > ANSWER_READ_TIMEOUT:
-            self._on_stalled(self.attempt)
-
-    def _on_stalled(self, attempt: Attempt) -> None:
-        response = self._parser.response
-        is_error = response is not None and self._parser.head_done and response.status != 200
-        if response is None or is_error or self.request_incomplete:
+            return
+        pauses = pause > ANSWER_STALL_TIMEOUT or now - self._answer_started_at > ANSWER_READ_TIMEOUT
+        if pauses and not self._may_become_an_answer():
             self.break_off()
             return
-        if not self._stall_reported:
-            self._stall_reported = True
-            if self._pool.sink.on_answer_stalled(attempt):
-                return
-        if self._parser.head_done and (response.length is None or response.length > MAX_BODY):
-            self._start_streaming(response)
+        step = self.partial_answer.next_step(now, pauses, self.may_stream)
+        if step is AnswerStep.STREAM:
+            self.start_streaming()
+        elif step is AnswerStep.SEEK_ALTERNATIVE:
+            has_alternative = self._pool.sink.seek_alternative(attempt, may_replace=not self.may_stream)
+            if not has_alternative and self.may_stream:
+                self.start_streaming()
+
+    def _may_become_an_answer(self) -> bool:
+        """Whether the rest of what has come could still make it the answer to the request."""
+        response = self._parser.response
+        if response is None or self.request_incomplete:
+            return False
+        return not self._parser.head_done or response.status == 200
+
+    @property
+    def may_stream(self) -> bool:
+        """Whether the answer is good so far and may be passed on before it is complete."""
+        response = self._parser.response
+        if self.attempt is None or response is None or not self._parser.head_done or response.status != 200:
+            return False
+        return not self.request_incomplete and (response.length is None or response.length > MAX_BODY)
+
+    @property
+    def answer_size(self) -> int:
+        """Bytes that have come of the body of the answer."""
+        return self._parser.response.received if self._parser.response is not None else 0
 
     def break_off(self) -> None:
         """Ends the attempt, whose answer does not go on, and closes the connection."""
@@ -731,6 +747,21 @@
         """Describes the progress of an attempt, for the log."""
         return attempt.connection.progress() if attempt.connection is not None else "not connected"
 
+    def is_slow(self, attempt: Attempt) -> bool:
+        """Whether the answer of an attempt has begun and is slow."""
+        return attempt.connection is not None and attempt.connection.partial_answer.is_slow
+
+    def all_slow(self, attempts: Sequence[Attempt]) -> bool:
+        """Whether the answers of all open attempts have begun and are slow."""
+        return all(self.is_slow(attempt) for attempt in attempts if not attempt.ended)
+
+    def stream_longest(self, attempts: Sequence[Attempt]) -> None:
+        """Streams the answer of which most has come, among those of open attempts that may be streamed."""
+        connections = [attempt.connection for attempt in attempts if attempt.connection is not None]
+        candidates = [connection for connection in connections if connection.may_stream]
+        if candidates:
+            max(candidates, key=lambda connection: connection.answer_size).start_streaming()
+
     def break_off(self, attempt: Attempt) -> None:
         """Ends an attempt whose answer does not go on, and reports it as broken."""
         if attempt.connection is not None:
@@ -809,7 +840,7 @@
         if was_delayed:
             return  # the process was delayed, and may have unread answers
         for connection in list(self._busy):
-            connection.check_stalled(now)
+            connection.check_progress(now)
 
     def idle_servers(self) -> dict[ServerId, int]:
         """Number of idle connections, by backend that has any."""
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -518,7 +518,7 @@
             self._fail(exchange, exchange.last_failure or "no backend accepted it")
         elif isinstance(action, Cancel):
             exchange = self._exchanges[action.request]
-            self._give_up(exchange.attempts[action.attempt], Outcome.CANCELLED)
+            self._give_up_for_another(exchange.attempts[action.attempt])
         elif isinstance(action, Timer):
             self._set_timer(action)
         else:
@@ -968,8 +968,17 @@
     def _give_up(self, attempt: Attempt, outcome: Outcome) -> None:
         """Cancels an attempt; the balancer is notified in a later event, as of any end."""
         if not attempt.ended:
-            self.backends.cancel(attempt)
-            self.loop.call_soon(self.on_attempt_ended, attempt, outcome, None, "cancelled")
+            progress = self.backends.cancel(attempt)
+            self.loop.call_soon(self.on_attempt_ended, attempt, outcome, None, f"cancelled: {progress}")
+
+    def _give_up_for_another(self, attempt: Attempt) -> None:
+        """Cancels an attempt that another one has overtaken; one whose answer was slow counts as broken."""
+        exchange = attempt.owner
+        assert isinstance(exchange, Exchange)
+        if exchange.streaming_attempt is None and self.backends.is_slow(attempt):
+            self.loop.call_soon(self.backends.break_off, attempt)
+        else:
+            self._give_up(attempt, Outcome.CANCELLED)
 
     def _on_attempt_timeout(self, attempt: Attempt) -> None:
         if not attempt.ended:
@@ -1014,32 +1023,40 @@
         )
         return True
 
-    def on_answer_stalled(self, attempt: Attempt) -> bool:
-        """Lets another attempt take the place of one whose answer does not go on; returns whether one did."""
+    def seek_alternative(self, attempt: Attempt, may_replace: bool) -> bool:
+        """Lets another attempt overtake one whose answer is slow; returns whether another one is out.
+
+        With `may_replace`, it takes the place of the slow one where both may not be out at once.
+        """
         exchange = attempt.owner
         assert isinstance(exchange, Exchange)
         if exchange.answered:
             return False
-        self._increment("stalled")
+        self._increment("slow answers")
         log.info(
-            "request %s: the answer of backend %x stalls, with %d attempts out: %s",
+            "request %s: the answer of backend %x is slow, with %d attempts out: %s",
             loggable_id(exchange.call_id),
             attempt.server,
             exchange.open_attempts,
             self.backends.progress(attempt),
         )
-        if exchange.open_attempts > 1:  # the others go on
-            self.backends.break_off(attempt)
+        if exchange.open_attempts > 1:
+            if self.backends.all_slow(exchange.attempts):
+                self.backends.stream_longest(exchange.attempts)
             return True
+        self._dispatch(exchange, lambda now: self.balancer.start_alternative(now, exchange.request_id))
+        if may_replace and exchange.open_attempts == 1:
+            self._replace_slow_attempt(exchange, attempt)
+        return exchange.open_attempts > 1 or attempt.ended
 
+    def _replace_slow_attempt(self, exchange: Exchange, attempt: Attempt) -> None:
         def replace_attempt(now: float) -> list[Action]:
-            actions = self.balancer.on_answer_stalled(now, exchange.request_id, attempt.number)
+            actions = self.balancer.replace_slow_attempt(now, exchange.request_id, attempt.number)
             if actions:
                 self.backends.break_off(attempt)
             return actions
 
         self._dispatch(exchange, replace_attempt)
-        return attempt.ended
 
     def on_answer_data(self, attempt: Attempt, data: bytes) -> None:
         """Passes the next bytes of a streamed answer to the caller."""
--- a/weldroute/decide.py
+++ b/weldroute/decide.py
@@ -363,6 +363,7 @@
         "receiving",
         "replaced_attempts",
         "slot",
+        "slow_replaced",
         "tenant",
     )
 
@@ -384,6 +385,7 @@
         self.body_released = False  # its body can't be sent again
         self.bound = False  # a streamed answer has begun: the request is bound to that attempt
         self.copy_at = 0.0  # when a second copy is due
+        self.slow_replaced = False  # an attempt with a slow answer was given up for another one
 
     def first_maybe_ran(self) -> Attempt | None:
         """Return the first attempt that may have run or may be running."""
@@ -1056,8 +1058,19 @@
                 self._refuse_or_fail(now, request, actions)
         return actions
 
-    def on_answer_stalled(self, now: float, request_id: RequestId, attempt_index: int) -> list[Action]:
-        """Replace an attempt whose answer has begun and does not go on, if a further one can start.
+    def start_alternative(self, now: float, request_id: RequestId) -> list[Action]:
+        """Start another attempt beside one whose answer has begun and is slow, if a second copy may be sent.
+
+        The slow one goes on: it may be sound, and the other one may be as slow.
+        """
+        request = self.requests.get(request_id)
+        actions: list[Action] = []
+        if request is not None and request.open == 1:
+            self._retry(now, request, actions)
+        return actions
+
+    def replace_slow_attempt(self, now: float, request_id: RequestId, attempt_index: int) -> list[Action]:
+        """Replace an attempt whose answer is slow where no second copy may run beside it; at most once a request.
 
         The attempt counts as broken then, and the caller has to cancel it before it carries out the actions. Without
         actions the attempt goes on: a slow answer is better than none.
@@ -1065,6 +1078,8 @@
         request = self.requests.get(request_id)
         if request is None or request.done or request.bound or request.open != 1:
             return []
+        if self.settings.limits.second_copies or request.slow_replaced:
+            return []
         attempt = request.attempts[attempt_index]
         attempt.open, attempt.outcome = False, Outcome.BROKEN
         request.open = 0
@@ -1073,6 +1088,7 @@
             attempt.open, attempt.outcome = True, None
             request.open = 1
             return []
+        request.slow_replaced = True
         timeout = self.settings.classes[request.class_index].aim
         self._record_outcome(now, attempt, Outcome.BROKEN, now - attempt.sent, timeout)
         return actions
