A slow call to discovery goes on beside the next one, which may be as slow

Up to two late calls stay open for 9 s more. The first call with an answer is followed, and the others are closed. As a call is open more of the time, a list also arrives sooner after an outage.

--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -9,7 +9,7 @@
 import asyncio
 import logging
 import re
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Coroutine, Sequence
 from dataclasses import dataclass
 from random import Random
 from typing import Any
@@ -28,6 +28,8 @@
 # retry: 3.0 + 1.5 s where lists are pushed. Where discovery is polled, weldroute schedules the retry: 3.0 + 2.4 s.
 HEARTBEAT_TIMEOUT = 3.0  # seconds of silence after which a watch is dead; an empty line is due every 2 s
 FIRST_BYTE_TIMEOUT = 3.0  # seconds from a request to the first byte of its response
+LATE_CALL_TIMEOUT = 9.0  # seconds that a call without an answer goes on beside the next ones
+MAX_LATE_CALLS = 2  # at once; each holds a descriptor
 CONNECT_TIMEOUT = 1.0  # seconds
 BACKOFF_MIN, BACKOFF_MAX = 0.1, 1.0  # seconds between attempts where lists are pushed, before jitter of half as much
 ENTRIES_PER_TURN = 64  # entries applied without a return to the event loop, so that requests don't wait for them
@@ -191,6 +193,7 @@
         self._list_received = False  # on the current watch
         self.first_attempt_done = asyncio.Event()  # the first list was received, or the first attempt failed
         self._task: asyncio.Task[None] | None = None
+        self._late_calls: list[asyncio.Task[None]] = []  # without a first byte in time, the longest first
 
     @property
     def seq(self) -> int:
@@ -226,6 +229,7 @@
             return
         self._address = address
         self._seq = 0
+        self._drop_late_calls()
         if self._task is None or self._task.done():
             return
         self._task.cancel()
@@ -237,29 +241,30 @@
 
     async def stop(self) -> None:
         """Close the watch."""
+        self._drop_late_calls()
         if self._task is not None:
             self._task.cancel()
             await asyncio.wait([self._task])
 
     async def _poll_once(self) -> None:
-        await self._run_watch()
+        await self._run_watch(self._watch())
         self._on_change(ListKind.BROKEN, ())
 
     async def _watch_forever(self) -> None:
         backoff = BACKOFF_MIN
         while True:
-            await self._run_watch()
+            await self._run_watch(self._watch())
             if self._list_received:
                 backoff = BACKOFF_MIN
             # The jitter spreads the reconnects of all proxies, which lost the same service at the same time.
             await asyncio.sleep(backoff * (0.5 + self._rng.random()))
             backoff = min(2.0 * backoff, self.max_backoff)
 
-    async def _run_watch(self) -> None:
+    async def _run_watch(self, watch: Coroutine[Any, Any, None]) -> None:
         """Run one watch until it ends, and log the reason."""
         self._list_received = False
         try:
-            await self._watch()
+            await watch
         except (OSError, EOFError, TimeoutError, MalformedAnswer) as error:
             log.info("discovery: watch ended: %s", str(error) or "timeout")
         except Exception:
@@ -267,18 +272,28 @@
         self.first_attempt_done.set()
 
     async def _watch(self) -> None:
+        """Make a call, and follow its answer to the end."""
         async with asyncio.timeout(CONNECT_TIMEOUT):
             reader, writer = await asyncio.open_connection(*self._address)
         try:
             host = "{}:{}".format(*self._address)
             writer.write(f"GET /discovery/hosts?watch=1&from={self._seq} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+            async with asyncio.timeout(FIRST_BYTE_TIMEOUT):
+                first_bytes = await reader.read(65536)
+        except TimeoutError:
+            self._keep_late_call(reader, writer)
+            raise
+        except BaseException:
+            writer.close()
+            raise
+        self._drop_late_calls()
+        await self._follow(reader, writer, first_bytes)
+
+    async def _follow(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Apply what has come of an answer, and the rest as it comes."""
+        try:
             body = _MessageParser()
-            wait = FIRST_BYTE_TIMEOUT
-            while not body.ended:
-                # A machine that disappears closes no connection: only missing heartbeats reveal it.
-                async with asyncio.timeout(wait):
-                    data = await reader.read(65536)
-                wait = HEARTBEAT_TIMEOUT
+            while True:
                 if data:
                     body.feed(data)
                 else:
@@ -289,9 +304,54 @@
                 await self._apply(messages)
                 if not data:
                     raise EOFError("closed by discovery")
+                if body.ended:
+                    return
+                # A machine that disappears closes no connection: only missing heartbeats reveal it.
+                async with asyncio.timeout(HEARTBEAT_TIMEOUT):
+                    data = await reader.read(65536)
         finally:
             writer.close()
 
+    # ---- calls that are answered late ----------------------------------------------------
+
+    def _keep_late_call(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Let a call without an answer go on beside the next one: discovery may be slow, and the next one as slow."""
+        self._late_calls = [call for call in self._late_calls if not call.done()]
+        if len(self._late_calls) >= MAX_LATE_CALLS:
+            self._late_calls.pop(0).cancel()
+        self._late_calls.append(asyncio.get_running_loop().create_task(self._await_late_answer(reader, writer)))
+
+    def _drop_late_calls(self) -> None:
+        for call in self._late_calls:
+            call.cancel()
+        self._late_calls.clear()
+
+    async def _await_late_answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Wait for the answer to a late call; if it comes before that to a later one, follow it instead of that."""
+        try:
+            async with asyncio.timeout(LATE_CALL_TIMEOUT):
+                data = await reader.read(65536)
+        except (OSError, TimeoutError):
+            data = b""
+        except BaseException:
+            writer.close()
+            raise
+        if not data:
+            writer.close()
+            return
+        this_call = asyncio.current_task()
+        assert this_call is not None
+        self._late_calls.remove(this_call)
+        self._drop_late_calls()
+        if self._task is not None:
+            self._task.cancel()
+        self._task = this_call
+        await self._run_watch(self._follow(reader, writer, data))
+        if self._pushed:
+            await self._watch_forever()
+        else:
+            self._on_change(ListKind.BROKEN, ())
+
     async def _apply(self, messages: Sequence[bytes]) -> None:
         """Apply messages in order, with a return to the event loop after every ENTRIES_PER_TURN entries."""
         applied = 0
--- a/standins/discovery.py
+++ b/standins/discovery.py
@@ -35,6 +35,7 @@
     def __init__(self) -> None:
         self.watches: asyncio.Queue[Watch] = asyncio.Queue()
         self.answer = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        self.first_byte_delay = 0.0  # seconds before anything is sent in answer to a call
         self.port = 0
         self._server: asyncio.Server | None = None
         self._writers: set[Writer] = set()
@@ -53,6 +54,7 @@
     async def _serve(self, reader: Reader, writer: Writer) -> None:
         self._writers.add(writer)
         head = await reader.readuntil(b"\r\n\r\n")
+        await asyncio.sleep(self.first_byte_delay)
         writer.write(self.answer)
         self.watches.put_nowait(Watch(head.split(b"\r\n")[0], writer))
         with contextlib.suppress(OSError):
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
 from collections.abc import Sequence
 from itertools import pairwise
 from typing import Any
 
 import pytest
-from rig import Rig, rig, serve_ok, until
+from rig import PEER_TIMEOUT, Rig, rig, serve_ok, until
 from test_proxy import run, silent
 
 from cometusher import discovery as discovery_module
@@ -144,6 +145,28 @@
     run(test)
 
 
+@pytest.mark.parametrize("mode", ["pushed", "on_request"])
+def test_list_that_takes_longer_than_the_first_byte_timeout_arrives(
+    mode: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a slow discovery of which nothing is ever learned: each call is given up for one as slow."""
+    monkeypatch.setattr(discovery_module, "FIRST_BYTE_TIMEOUT", 0.2)
+
+    async def test() -> None:
+        async with rig(serve_ok, serve_ok, settings={"RegistryMode": mode}) as r:
+            r.discovery.first_byte_delay = 0.5
+            entry = r.backends[0].discovery_entry(health="terminating")
+            async with asyncio.timeout(PEER_TIMEOUT):
+                while state(r, 1) is not State.DRAINING:
+                    with contextlib.suppress(TimeoutError, RuntimeError):  # no call, or one that is given up
+                        (await asyncio.wait_for(r.discovery.watches.get(), 0.05)).send_list(43, entry)
+            assert r.proxy.discovery.has_current_list
+            await asyncio.sleep(0.5)
+            assert len(r.proxy.discovery._late_calls) == 0
+
+    run(test)
+
+
 def test_heartbeats_keep_a_watch(monkeypatch: pytest.MonkeyPatch) -> None:
     monkeypatch.setattr(discovery_module, "HEARTBEAT_TIMEOUT", 5.0)
 
