--- a/tests/loopback/test_slow_answers.py
+++ b/tests/loopback/test_slow_answers.py
@@ -87,3 +87,18 @@
             assert (status, seen.body) == (200, b"x" * 10)
 
     run(test)
+
+
+@pytest.mark.parametrize("second_copies", [True, False], ids=["second copies", "one attempt at a time"])
+def test_short_answer_that_all_backends_write_slowly_arrives(second_copies: bool) -> None:
+    """Guards against slow short answers that are given up one after the other: one of the first two is waited for."""
+    script = SlowBackend(SHORT, chunked=False, first_part=0)
+
+    async def test() -> None:
+        async with rig(*[script] * 6, settings={"Bounds": {"SecondCopies": second_copies, "MaxAttempts": 6}}) as r:
+            r.proxy.balancer.retry_tokens = 10.0
+            status, seen = await r.call(budget="2500m")
+            assert (status, len(seen.body)) == (200, SHORT)
+            assert len(r.seen) == 2
+
+    run(test)
