Time in which this process did not run does not count against its callers

A caller whose short body came in pieces while the process was stopped for 2.6 s got 408: the mean rate of its body counted the stop. Found by a look for related code; attempts to backends had such a guard, callers had none.

test_caller_that_sends_while_the_process_is_stopped_is_served: [short body] fails without the change, [long body] and [head] do not; all pass with it (6 of 6).

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -34,7 +34,6 @@
 STREAM_STALL_TIMEOUT = 12.0  # seconds without a byte after which a streamed answer is broken
 ANSWER_ALLOWANCE = 4 * 1024  # bytes of an answer that are not counted against the memory budget
 SCARCE_READ_BYTES = 4 * 1024  # of one read at most, while memory is scarce
-LATE_SWEEP = 0.2  # seconds since the last sweep, beyond which silence may only mean that nothing was read
 
 
 class CloseReason(Enum):
@@ -561,7 +560,6 @@
         self._connection_count = 0  # since the process started, with those that were taken over
         self.before_send: Callable[[Attempt], None] | None = None  # called before an attempt is written
         self._takeover_tasks: set[asyncio.Task[None]] = set()
-        self._last_sweep_at = 0.0
         descriptors.evict_backend = self._evict
 
     def next_connection_number(self) -> int:
@@ -832,17 +830,19 @@
             return True
         return False
 
-    def sweep(self) -> None:
-        """Closes connections idle for too long, and fails attempts whose answers stall."""
+    def sweep(self, was_held_up: bool = False) -> None:
+        """Closes connections idle for too long, and checks the progress of answers.
+
+        `was_held_up`: the process did not run for a while.
+        """
         now = self.loop.time()
-        was_delayed, self._last_sweep_at = now - self._last_sweep_at > LATE_SWEEP, now
         while self._idle:
             connection = next(iter(self._idle))
             if connection.idle_since > now - self.reuse.idle_timeout:
                 break
             self._discard(connection, CloseReason.IDLE_TIMEOUT)
-        if was_delayed:
-            return  # the process was delayed, and may have unread answers
+        if was_held_up:
+            return  # answers may wait unread
         for connection in list(self._busy):
             connection.check_progress(now)
 
--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -37,6 +37,7 @@
 BODY_STALL_TIMEOUT = 1.5  # seconds without a byte of a body
 MIN_BODY_RATE = 16 * 1024  # bytes per second of a body, on average after BODY_RATE_GRACE
 BODY_RATE_GRACE = 2.0  # seconds
+MIN_HOLD_UP = 0.3  # seconds in which this process did not run; shorter ones are within the margins of the limits
 WRITE_STALL_TIMEOUT = 5.0  # seconds in which a caller reads nothing of a buffered answer
 STREAM_STALL_TIMEOUT = 12.0  # seconds, likewise for a streamed answer: slow readers open their windows in large steps
 IDLE_TIMEOUT = 10.0  # seconds between requests
@@ -597,6 +598,12 @@
         if self._transport is not None:
             self._transport.close()
 
+    def extend_timeouts(self, held_up: float, now: float) -> None:
+        """Extends all limits on this caller by a time in which this process did not read what it may have sent."""
+        self.state_since = min(now, self.state_since + held_up)
+        self._last_read_at = min(now, self._last_read_at + held_up)
+        self._head_complete_at = min(now, self._head_complete_at + held_up)
+
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Ends whatever takes too long: heads and bodies that arrive slowly, answers that are not read.
 
@@ -873,9 +880,12 @@
                 return True
         return False
 
-    def sweep(self) -> None:
-        """Applies the timeouts to all connections."""
+    def sweep(self, held_up: float = 0.0) -> None:
+        """Applies the timeouts to all connections; `held_up` seconds in which this process did not run don't count."""
         now = self.loop.time()
+        if held_up >= MIN_HOLD_UP:
+            for connection in self._connections:
+                connection.extend_timeouts(held_up, now)
         crowded = len(self._connections) > self._descriptors.caller_limit // 2
         idle_timeout = CROWDED_IDLE_TIMEOUT if crowded else IDLE_TIMEOUT
         for connection in list(self._body_paused):
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -55,6 +55,7 @@
     Subscribe,
     Timer,
 )
+from weldroute.hold_up import HoldUpDetector
 from weldroute.model import NEVER_RAN, PriorAttempt, ServerId
 from weldroute.model import Discovery as DiscoveryMode
 from weldroute.operations import (
@@ -82,6 +83,7 @@
 TakenOverConnection = tuple[Any, int, int]
 READY_PATH = b"/up"
 SWEEP_INTERVAL = 0.1  # seconds between checks of idle connections and timeouts
+SWEEP_TOLERANCE = 0.1  # seconds by which a check may be late, beyond which peers' silence may be this process's
 FIRST_LIST_TIMEOUT = 2.0  # seconds that a process with a passed-in listener waits for its first backend list
 MANAGEMENT_RETRY_DELAY = 0.1  # seconds between attempts to bind the management address while the old process holds it
 REPORT_INTERVAL = 10.0  # seconds between log lines with counters
@@ -234,6 +236,7 @@
         self.loop = loop
         self.network = network or SocketNetwork(loop)
         self.clock = Clock(self.network)
+        self._hold_up_detector = HoldUpDetector(SWEEP_INTERVAL, SWEEP_TOLERANCE)
         self.config = config
         self.operations = Operations()
         self._hot_restart: HotRestart | None = None
@@ -415,14 +418,17 @@
 
     def _sweep(self) -> None:
         self.loop.call_later(SWEEP_INTERVAL, self._sweep)
-        self.backends.sweep()
+        held_up = self._hold_up_detector.check(self.loop.time())
+        if held_up:
+            log.info("this process did not run for %.3f s", held_up)
+        self.backends.sweep(was_held_up=held_up > 0.0)
         if self.recovery is not None:
             self.recovery.tick()
         if self._hot_restart is not None:
             self._hot_restart.tick()
             self._expire_shared_ids(self._hot_restart)
         self.apply_listener_state()
-        self.callers.sweep()
+        self.callers.sweep(held_up)
         if self.management is not None:
             self.management.sweep()
         has_news = self.counters != self._reported_counters or self.callers.paused_body_count > 0
