--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -881,7 +881,7 @@
         return False
 
     def sweep(self, held_up: float = 0.0) -> None:
-        """Applies the timeouts to all connections; `held_up` seconds in which this process did not run don't count."""
+        """Applies the timeouts to all connections; the `held_up` seconds without this process running don't count."""
         now = self.loop.time()
         if held_up >= MIN_HOLD_UP:
             for connection in self._connections:
