--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -450,6 +450,12 @@
         else:
             self._pool.finish(attempt, Outcome.BROKEN, None, reason)
 
+    def extend_timeouts(self, held_up: float, now: float) -> None:
+        """Extends the limits on the answer by a time in which this process did not read what may have come of it."""
+        self.last_read_at = min(now, self.last_read_at + held_up)
+        if self._answer_started_at:
+            self._answer_started_at = min(now, self._answer_started_at + held_up)
+
     def check_progress(self, now: float) -> None:
         """Acts on an answer that has begun and then pauses, or takes long: see `weldroute/partial_answer.py`."""
         attempt = self.attempt
@@ -830,10 +836,10 @@
             return True
         return False
 
-    def sweep(self, was_held_up: bool = False) -> None:
+    def sweep(self, held_up: float = 0.0) -> None:
         """Closes connections idle for too long, and checks the progress of answers.
 
-        `was_held_up`: the process did not run for a while.
+        Seconds in which this process did not run (`held_up`) don't count against backends.
         """
         now = self.loop.time()
         while self._idle:
@@ -841,7 +847,9 @@
             if connection.idle_since > now - self.reuse.idle_timeout:
                 break
             self._discard(connection, CloseReason.IDLE_TIMEOUT)
-        if was_held_up:
+        if held_up:
+            for connection in self._busy:
+                connection.extend_timeouts(held_up, now)
             return  # answers may wait unread
         for connection in list(self._busy):
             connection.check_progress(now)
--- a/cometusher/proxy.py
+++ b/cometusher/proxy.py
@@ -421,7 +421,7 @@
         held_up = self._hold_up_detector.check(self.loop.time())
         if held_up:
             log.info("this process did not run for %.3f s", held_up)
-        self.backends.sweep(was_held_up=held_up > 0.0)
+        self.backends.sweep(held_up)
         if self.recovery is not None:
             self.recovery.tick()
         if self._hot_restart is not None:
--- a/tests/loopback/test_held_up_process.py
+++ b/tests/loopback/test_held_up_process.py
@@ -4,13 +4,16 @@
 
 import asyncio
 import signal
+import time
 from pathlib import Path
 
 import pytest
-from rig import PEER_TIMEOUT, Backend, Caller, Message, Writer, reply, request
+from rig import PEER_TIMEOUT, Backend, Caller, Message, Writer, reply, request, rig
 from test_process import connect, proxy_process
 from test_proxy import run
 
+from cometusher import backends as backends_module
+
 STOP_TIME = 2.6  # seconds: above the limits on heads and on bodies without a byte
 PIECE_INTERVAL = 0.1  # seconds
 
@@ -56,3 +59,23 @@
         await backend.stop()
 
     run(test)
+
+
+def test_streamed_answer_survives_a_stop_of_the_process(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against a sound stream that is cut off, as a stop of the process counts as its backend's silence."""
+    monkeypatch.setattr(backends_module, "STREAM_STALL_TIMEOUT", 0.6)
+    length = 200_000
+
+    async def pause_around_a_stop(backend: Backend, seen: Message, writer: Writer) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % length + b"x" * (length // 2))
+        await asyncio.sleep(0.2)
+        time.sleep(0.9)  # stops the proxy, which runs in the same process
+        await asyncio.sleep(0.25)
+        writer.write(b"x" * (length // 2))
+
+    async def test() -> None:
+        async with rig(pause_around_a_stop) as r:
+            status, seen = await r.call()
+            assert (status, len(seen.body)) == (200, length)
+
+    run(test)
