A connection that a cut link may owe a late answer carries no further request

No time of rest is enough where the network holds bytes back.

While input that belongs to no request has been seen in the last 60 s, a kept connection is used again only if something else arrived from its backend after the rest: the link delivered then, and would have delivered a second answer too. The cost is one more connection for each backend in such a minute; without such input nothing changes.

Left: the first second answer of all, if it is held back by a cut, as nothing has shown yet that any come.

--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -130,7 +130,7 @@
 class Backend:
     """One backend: its address, start time and idle connections, the most recently used last."""
 
-    __slots__ = ("address", "idle", "server", "started_at", "usable")
+    __slots__ = ("address", "idle", "last_input_at", "server", "started_at", "usable")
 
     def __init__(self, server: ServerId, address: Address, started_at: float, usable: bool) -> None:
         self.server = server
@@ -138,6 +138,7 @@
         self.started_at = started_at
         self.usable = usable
         self.idle: list[BackendConnection] = []
+        self.last_input_at = float("-inf")  # on any connection
 
 
 class BackendConnection(BoundedReadProtocol):
@@ -195,18 +196,19 @@
 
     def data_received(self, data: bytes) -> None:
         self.bytes_read += len(data)
+        now = self.backend.last_input_at = self._pool.loop.time()
         if self.attempt is None:
             log.info(
                 "%d unsolicited bytes on %s, %.1f ms after its last use; closing",
                 len(data),
                 self,
-                (self._pool.loop.time() - self.idle_since) * 1000.0,
+                (now - self.idle_since) * 1000.0,
             )
             if self.use_count:
-                self._pool.reuse.on_late_input(self._pool.loop.time(), self._pool.loop.time() - self.idle_since)
+                self._pool.reuse.on_late_input(now, now - self.idle_since)
             self.close(CloseReason.UNSOLICITED_INPUT)
             return
-        self.last_read_at = self._pool.loop.time()
+        self.last_read_at = now
         try:
             response = self._parser.feed(data)
         except Malformed as error:
@@ -383,6 +385,7 @@
             reason = f"{reason} {self._elapsed()}"
         if self._parser.has_surplus:
             log.info("more than the answer on %s; closing", self)
+            self._pool.reuse.on_surplus_input(self._pool.loop.time())
             self.close(CloseReason.SURPLUS_INPUT)
         elif response.keep_alive and not answered_early and not response.until_eof:
             self._pool.keep_or_close(self, attempt.repeat)
@@ -860,10 +863,8 @@
 
     def _rested_count(self, backend: Backend) -> int:
         """Number of a backend's idle connections that have rested; they stand first in its list."""
-        now = self.loop.time()
-        return bisect_right(
-            backend.idle, now - self.reuse.min_idle(now), key=lambda connection: connection.idle_since
-        )
+        latest = self.reuse.latest_reusable(self.loop.time(), backend.last_input_at)
+        return bisect_right(backend.idle, latest, key=lambda connection: connection.idle_since)
 
     def counts(self) -> tuple[int, int]:
         """Numbers of connections in use and idle."""
--- a/tests/loopback/test_late_answers.py
+++ b/tests/loopback/test_late_answers.py
@@ -200,6 +200,8 @@
             await asyncio.sleep(RESTED)
             r.proxy.backends.reuse.on_late_input(r.proxy.loop.time(), 2.0 * MIN_REST)
             await asyncio.sleep(5.0 * MIN_REST)
+            for i in range(10, 20):  # their answers show that the links deliver, so kept connections may be used
+                assert (await r.call(request_id=f"first-{i}"))[0] == 200
             assert (await r.call(kind="submit", request_id="second"))[0] == 502
             reached = [backend for backend in r.backends if any(is_second(seen) for seen in backend.requests)]
             assert len(reached) == 1
@@ -254,3 +256,32 @@
             assert r.proxy.descriptors.peak < limit
 
     run(test)
+
+
+def test_second_answer_that_the_network_held_back_reaches_no_other_request() -> None:
+    """Guards against a copy that a cut held back past any rest, and that meets the next request (review/3)."""
+    held_back: dict[Writer, bytes] = {}
+
+    async def answer_and_hold_a_copy_back(backend: Backend, seen: Message, writer: Writer) -> None:
+        answer = reply(body=seen.headers[b"x-call-id"])
+        writer.write(held_back.pop(writer, b"") + answer)
+        if seen.headers[b"x-call-id"] == b"doubled":
+            await asyncio.sleep(0.02)
+            writer.write(answer)
+        else:
+            held_back[writer] = answer
+
+    async def test() -> None:
+        async with rig(answer_and_hold_a_copy_back, settings=ONE_COPY) as r:
+            assert (await r.call(request_id="doubled"))[1].body == b"doubled"
+            await until(lambda: sum(r.proxy.backends.counts()) == 0)
+            for call_id in ("first", "second"):
+                await asyncio.sleep(RESTED)
+                assert (await r.call(request_id=call_id))[1].body == call_id.encode()
+            assert r.backends[0].connections == 3
+            held_back.clear()
+            await asyncio.sleep(RESTED)
+            assert (await r.call(request_id="third"))[1].body == b"third"
+            assert r.backends[0].connections == 3  # input of the second request has shown that the link delivers
+
+    run(test)
--- a/weldroute/connection_reuse.py
+++ b/weldroute/connection_reuse.py
@@ -9,6 +9,9 @@
   until late input would have arrived, which ends the connection. Input that came late on any connection makes all
   rest for longer. The cost: one server that writes to connections long idle makes all others get new ones. A request
   that must not run twice never uses a connection that carried one before: no rest is certain to be enough.
+- Late input that the network holds back: a cut link delivers it when it is whole again, after any rest. So while
+  input that belongs to no request has been seen recently, a connection is used again only if something else arrived
+  from its server after the rest: the link delivered then, and would have delivered late input too.
 - Early closes: the server may close an idle connection before its announced time, and a request that crosses the
   close may have run. Once such losses are seen, requests that are not safe to repeat avoid connections as old.
 
@@ -34,7 +37,7 @@
 class ConnectionReuse:
     """What one instance has learned about kept connections, and the limits that follow."""
 
-    __slots__ = ("_close_races", "_late_input_age", "_late_input_at", "idle_timeout")
+    __slots__ = ("_close_races", "_late_input_age", "_late_input_at", "_surplus_seen_at", "idle_timeout")
 
     def __init__(self, server_idle_timeout: float) -> None:
         self.idle_timeout = (
@@ -44,9 +47,15 @@
         self._close_races: deque[tuple[float, float]] = deque(maxlen=CLOSE_RACES)
         self._late_input_age = 0.0  # the latest input of the recent past, in seconds after the answer before it
         self._late_input_at = float("-inf")
+        self._surplus_seen_at = float("-inf")  # the last input that belonged to no request
+
+    def on_surplus_input(self, now: float) -> None:
+        """Record input right behind an answer, which belongs to no request."""
+        self._surplus_seen_at = now
 
     def on_late_input(self, now: float, age: float) -> None:
         """Record input on a connection that was idle for `age` seconds."""
+        self.on_surplus_input(now)
         if age >= self._recent_late_input_age(now):
             self._late_input_age = age
             self._late_input_at = now
@@ -83,6 +92,16 @@
         """The shortest idle time after which a connection may be used again."""
         return max(MIN_REST, REST_MARGIN * self._recent_late_input_age(now))
 
+    def latest_reusable(self, now: float, last_input_at: float) -> float:
+        """The latest time since which a connection may be idle to be used again.
+
+        `last_input_at` is when anything last arrived from its server, on any connection.
+        """
+        min_idle = self.min_idle(now)
+        if now - self._surplus_seen_at < LATE_INPUT_MEMORY:
+            return min(now, last_input_at) - min_idle
+        return now - min_idle
+
     def max_idle(self, now: float, repeat: Repeat) -> float:
         """The longest idle time of a connection for a request of a class with this effect.
 
