Half requests that stall give way after 0.25 s while descriptors are scarce

A half request kept its descriptor for 1 s from its first byte, so at most 174 of a backlog of 600 came in each second. Without a byte for 0.25 s it may be evicted now; one that goes on keeps the 1 s.

--- a/cometusher/callers.py
+++ b/cometusher/callers.py
@@ -44,6 +44,7 @@
 CROWDED_IDLE_TIMEOUT = 2.1  # seconds between requests while callers hold more than half of their descriptors
 EVICT_SILENT_AFTER = 0.15  # seconds after which a connection that has sent nothing may be evicted
 EVICT_PARTIAL_AFTER = 1.0  # seconds after which a connection with an incomplete first request may be evicted
+EVICT_STALLED_AFTER = 0.25  # seconds without a byte after which such a connection may be evicted sooner
 EVICT_LINGERING_AFTER = 0.1  # seconds after which a lingering connection may be evicted
 MAX_EVICTIONS = 16  # of such connections at once, as they arrive by the hundred
 LINGER_TIMEOUT = 0.5  # seconds in which input is read and discarded before a close
@@ -648,20 +649,22 @@
 
     def evict(self, now: float) -> bool:
         """Aborts a silent, incomplete or lingering connection that is old enough; returns whether it did."""
-        min_age = (
-            EVICT_LINGERING_AFTER
-            if self._closing
-            else EVICT_PARTIAL_AFTER
-            if self.is_mid_request
-            else EVICT_SILENT_AFTER
-        )
-        if now - self.state_since <= min_age:
+        if not self._may_be_evicted(now):
             return False
         self.close_reason = CallerCloseReason.EVICTED
         if self._transport is not None:
             self._transport.abort()
         return True
 
+    def _may_be_evicted(self, now: float) -> bool:
+        """Whether the connection has held its descriptor for long enough without a complete request."""
+        age = now - self.state_since
+        if self._closing:
+            return age > EVICT_LINGERING_AFTER
+        if self.is_mid_request:
+            return age > EVICT_PARTIAL_AFTER or now - self._last_read_at > EVICT_STALLED_AFTER
+        return age > EVICT_SILENT_AFTER
+
 
 class Callers:
     """The listener and all connections of callers."""
--- a/tests/test_proxy.py
+++ b/tests/test_proxy.py
@@ -744,6 +744,29 @@
     run(test)
 
 
+def test_half_requests_that_stall_do_not_hold_up_others(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Guards against usual requests that wait in the backlog behind half ones; a slow one that goes on is served."""
+    monkeypatch.setattr(callers_module, "EVICT_PARTIAL_AFTER", 60.0)
+    monkeypatch.setattr(callers_module, "EVICT_STALLED_AFTER", 0.5)
+
+    async def send_slowly(caller: Caller) -> int:
+        data = request(request_id="slow")
+        for start in range(0, len(data), 10):
+            caller.writer.write(data[start : start + 10])
+            await asyncio.sleep(0.1)
+        return (await caller.answer())[0]
+
+    async def test() -> None:
+        async with rig(serve_ok, sockets=40) as r:
+            slow = asyncio.create_task(send_slowly(await r.caller()))
+            for number in range(60):
+                (await r.caller()).writer.write(request(request_id=f"half-{number}")[:70])
+            assert (await r.call(request_id="new"))[0] == 200
+            assert await slow == 200
+
+    run(test)
+
+
 # ---- pools -------------------------------------------------------------------------------
 
 
