--- a/cometusher/discovery.py
+++ b/cometusher/discovery.py
@@ -286,7 +286,6 @@
         except BaseException:
             writer.close()
             raise
-        self._drop_late_calls()
         await self._follow(reader, writer, first_bytes)
 
     async def _follow(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, data: bytes) -> None:
@@ -298,7 +297,9 @@
                     body.feed(data)
                 else:
                     body.finish()
-                if body.status and body.status != 200:
+                if body.status == 200:
+                    self._drop_late_calls()
+                elif body.status:
                     raise MalformedAnswer(f"status {body.status}")
                 messages, body.messages = body.messages, []
                 await self._apply(messages)
