--- a/weldroute/handover.py
+++ b/weldroute/handover.py
@@ -24,8 +24,9 @@
 from itertools import pairwise
 from typing import Any
 
+from weldroute.admission import AdmissionControl
 from weldroute.breaker import BUCKETS, Breaker
-from weldroute.decide import AdmissionControl, Balancer
+from weldroute.decide import Balancer
 from weldroute.model import ServerId
 from weldroute.server import Server
 
