In an upgrade the new process notices descriptors that the old one frees

Callers of a new process got 503 while the old one held many idle connections: an attempt that waits for a descriptor was woken by releases of its own process only, and gave up after the connect timeout although the old one had made room 0.1 s after the start. Those that wait try again at each check (0.1 s) now, if the shared budget has room.

--- a/cometusher/budget.py
+++ b/cometusher/budget.py
@@ -108,6 +108,14 @@
     def _release(self) -> None:
         self.used -= 1
         self.report_usage(self.used)
+        self._on_released()
+
+    def check_waiting(self) -> None:
+        """Lets those that wait try again if other processes have released some, which nothing reports here."""
+        if self._waiting and not self._is_full():
+            self._on_released()
+
+    def _on_released(self) -> None:
         # All are called: a single call could go to a waiter that has given up.
         waiting, self._waiting = self._waiting, []
         for on_available in waiting:
--- a/cometusher/hot_restart.py
+++ b/cometusher/hot_restart.py
@@ -119,6 +119,7 @@
         """Follow the state of the other processes and save this one's; called several times a second."""
         self._read_new_orders()  # versions of the program without the order count store orders without counting them
         proxy = self._proxy
+        proxy.descriptors.check_waiting()
         is_yielding = self._handover.ledger.should_yield()
         if is_yielding is not self._is_yielding:
             self._is_yielding = is_yielding
