--- a/cometusher/backends.py
+++ b/cometusher/backends.py
@@ -177,6 +177,11 @@
         last = f", last {loggable_id(self.last_call_id)}" if self.use_count else ""
         return f"connection {self.number} to backend {self.backend.server:x} ({self.use_count} requests{last})"
 
+    @property
+    def is_current(self) -> bool:
+        """Whether its backend has neither moved nor restarted since the connection was begun."""
+        return self.address == self.backend.address and self.backend_started_at == self.backend.started_at
+
     # ---- transport callbacks -----------------------------------------------------------
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -723,11 +728,7 @@
             connection.close(CloseReason.UNREAD_INPUT)
             self.finish(attempt, Outcome.UNREACHABLE, None, "closed or written to by the backend before the request")
             return
-        if (
-            self._backends.get(attempt.server) is not backend
-            or connection.address != backend.address
-            or connection.backend_started_at != backend.started_at
-        ):
+        if self._backends.get(attempt.server) is not backend or not connection.is_current:
             # Another process may have the address by now, and may be the one that has accepted the connection.
             connection.close(CloseReason.BACKEND_CHANGED)
             self.finish(attempt, Outcome.UNREACHABLE, None, "its backend moved, restarted or went while connecting")
@@ -790,11 +791,7 @@
         """Keeps a connection for later attempts, unless its backend has moved, restarted or been removed."""
         backend = connection.backend
         self._busy.pop(connection, None)
-        if (
-            not backend.usable
-            or connection.address != backend.address
-            or connection.backend_started_at != backend.started_at
-        ):
+        if not backend.usable or not connection.is_current:
             connection.close(CloseReason.BACKEND_CHANGED)
             return
         connection.idle_since = self.loop.time()
