Test of a caller that leaves: by a reset, and long before the deadline

At the deadline the connection's end is reported one turn after the request's, and a poll in between failed.

The caller resets now, its request has to be over within 4 s of 8 s, and the wait is for both ends.

--- a/tests/loopback/test_streaming.py
+++ b/tests/loopback/test_streaming.py
@@ -5,6 +5,8 @@
 import asyncio
 import hashlib
 import logging
+import socket
+import struct
 from random import Random
 from typing import Any
 
@@ -350,9 +352,14 @@
     async def test() -> None:
         async with rig(serve_ok) as r:
             caller = await send_body_to(r, read_nothing, False, "8000m")
+            left_at = r.proxy.loop.time()
+            # A normal close would wait behind the rest of the body; only a reset can be seen.
+            reset_on_close = struct.pack("ii", 1, 0)
+            caller.writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, reset_on_close)
             caller.abort()
-            await until(lambda: r.proxy.open_requests == 0)
-            assert r.proxy.backends.counts()[0] == 0 and r.proxy.memory.used == 0
+            await until(lambda: r.proxy.open_requests == 0 and r.proxy.backends.counts()[0] == 0)
+            assert r.proxy.loop.time() - left_at < 4.0  # long before the deadline, which would end it as well
+            assert r.proxy.memory.used == 0
 
     run(test)
 
